--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install test lint format run bench fuzz binary capacity clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.txt requirements-dev.txt constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt
+	touch $(STAMP)
+
+test: install
+	$(BIN)/python -m pytest
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf build dist
--- /dev/null
+++ b/turmericknot/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Services of the agent role."""
--- /dev/null
+++ b/turmericknot/checks/__init__.py
@@ -0,0 +1,1 @@
+"""System checks with ids and hints."""
--- /dev/null
+++ b/turmericknot/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: defaults, loading and validation."""
--- /dev/null
+++ b/turmericknot/configtree/__init__.py
@@ -0,0 +1,1 @@
+"""The federation's configuration tree and its merge."""
--- /dev/null
+++ b/turmericknot/core/__init__.py
@@ -0,0 +1,1 @@
+"""Service registry, exceptions and identifiers."""
--- /dev/null
+++ b/turmericknot/core/exceptions.py
@@ -0,0 +1,65 @@
+"""Exceptions of the project, one tree."""
+
+
+class TurmericknotError(Exception):
+    """Base class of every error that the project raises."""
+
+
+class ConfigurationError(TurmericknotError):
+    """A setting is missing, unknown or invalid."""
+
+
+class ServiceError(TurmericknotError):
+    """A service of the kernel failed."""
+
+
+class ServiceNotFound(ServiceError):
+    """No service is registered under the requested name."""
+
+    def __init__(self, name, known):
+        super().__init__(f"no service named {name!r}; known: {', '.join(known)}")
+        self.name = name
+
+
+class DuplicateService(ServiceError):
+    """Two services were registered under one name."""
+
+
+class AddressInUse(ServiceError):
+    """A listening address is taken by another process."""
+
+
+class WireError(TurmericknotError):
+    """A peer sent something that cannot be decoded."""
+
+
+class LogServiceError(TurmericknotError):
+    """Base class of failures of the platform's log service."""
+
+
+class AppendNotWritten(LogServiceError):
+    """The log service refused the record: it was certainly not written."""
+
+
+class AppendOutcomeUnknown(LogServiceError):
+    """The answer to an append was lost: the record may have been written."""
+
+
+class LogUnavailable(LogServiceError):
+    """The log service cannot be read at present."""
+
+
+class RecordsTrimmed(LogServiceError):
+    """The requested offset is older than the log's retention."""
+
+    def __init__(self, first_offset):
+        super().__init__(f"records before offset {first_offset} are gone")
+        self.first_offset = first_offset
+
+
+class TargetError(TurmericknotError):
+    """A target failed or refused a call."""
+
+
+class RequestError(TurmericknotError):
+    """A caller's request is malformed."""
--- /dev/null
+++ b/turmericknot/core/kernel.py
@@ -0,0 +1,55 @@
+"""Micro-kernel: a registry in which services find each other by name."""
+
+from contextlib import contextmanager
+
+from .exceptions import DuplicateService, ServiceNotFound
+
+
+class Kernel:
+    """Hold the services of one process in start order."""
+
+    __slots__ = ("_services",)
+
+    def __init__(self):
+        self._services = {}
+
+    @property
+    def names(self):
+        """Return the names of the services in start order."""
+        return tuple(self._services)
+
+    def register(self, name, service):
+        """Add a service; raise DuplicateService when the name is taken."""
+        if name in self._services:
+            raise DuplicateService(f"a service named {name!r} is registered already")
+        self._services[name] = service
+        return service
+
+    def get(self, name):
+        """Return the service of that name or raise ServiceNotFound."""
+        try:
+            return self._services[name]
+        except KeyError:
+            raise ServiceNotFound(name, self.names) from None
+
+
+@contextmanager
+def running(factories, settings):
+    """Create and start services in order; stop those started in reverse order.
+
+    ``factories`` is a list of ``(name, factory)``; a factory takes the kernel and
+    the settings and returns a service with ``start()`` and ``stop()``.
+    """
+    kernel = Kernel()
+    for name, factory in factories:
+        kernel.register(name, factory(kernel, settings))
+    started = []
+    try:
+        for name in kernel.names:
+            service = kernel.get(name)
+            service.start()
+            started.append(service)
+        yield kernel
+    finally:
+        for service in reversed(started):
+            service.stop()
--- /dev/null
+++ b/turmericknot/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of entries and agents; performs no I/O."""
--- /dev/null
+++ b/turmericknot/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Services of the entry role."""
--- /dev/null
+++ b/turmericknot/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator and reports."""
--- /dev/null
+++ b/turmericknot/management/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/turmericknot/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands, one module each."""
--- /dev/null
+++ b/turmericknot/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership of agents and entries; performs no I/O."""
--- /dev/null
+++ b/turmericknot/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers for logging, metrics and histograms."""
--- /dev/null
+++ b/turmericknot/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between entries and agents."""
--- /dev/null
+++ b/turmericknot/wire/codec.py
@@ -0,0 +1,49 @@
+"""Encode and decode frames: lists of messages that travel together."""
+
+import msgspec
+
+from turmericknot.core.exceptions import WireError
+
+from .messages import AnyMessage
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+_encoder = msgspec.msgpack.Encoder()
+_frame_decoder = msgspec.msgpack.Decoder(list[AnyMessage])
+_message_decoder = msgspec.msgpack.Decoder(AnyMessage)
+_raw_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
+
+
+def encode_frame(messages):
+    """Return the bytes of a frame of messages."""
+    return _encoder.encode(messages)
+
+
+def decode_frame(data):
+    """Return the messages of a frame, without those of unknown tags.
+
+    Raise WireError when the frame is no list of messages at all.
+    """
+    if len(data) > MAX_FRAME_BYTES:
+        raise WireError(f"frame of {len(data)} bytes exceeds {MAX_FRAME_BYTES}")
+    try:
+        return _frame_decoder.decode(data)
+    except msgspec.ValidationError:
+        return _decode_known(data)
+    except msgspec.DecodeError as error:
+        raise WireError(f"undecodable frame: {error}") from error
+
+
+def _decode_known(data):
+    """Decode message by message, skipping what a newer peer added."""
+    try:
+        parts = _raw_decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise WireError(f"frame is not a list: {error}") from error
+    messages = []
+    for part in parts:
+        try:
+            messages.append(_message_decoder.decode(part))
+        except msgspec.ValidationError:
+            continue
+    return messages
