--- /dev/null
+++ b/tests/wire/test_links.py
@@ -0,0 +1,155 @@
+"""Streams over real loopback sockets."""
+
+import queue
+import socket
+import threading
+
+import pytest
+
+from turmericknot.core.exceptions import AddressInUse
+from turmericknot.wire.links import LinkCallbacks, create_links
+from turmericknot.wire.messages import Acknowledge, Heartbeat
+from turmericknot.wire.traffic import report
+
+WAIT_S = 5
+
+
+class Side:
+    """Links whose callbacks put what happens into a queue."""
+
+    def __init__(self, address="", **options):
+        self.events = queue.Queue()
+        record = {
+            name: lambda *args, name=name: self.events.put((name, *args))
+            for name in ("opened", "received", "closed", "dial_failed")
+        }
+        self.links = create_links(LinkCallbacks(**record), address, **options)
+
+    def next(self, name):
+        event = self.events.get(timeout=WAIT_S)
+        assert event[0] == name, event
+        return event[1:]
+
+
+@pytest.fixture
+def address():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port = sock.getsockname()[1]
+    return f"127.0.0.1:{port}"
+
+
+@pytest.fixture
+def start():
+    sides = []
+
+    def start_side(*args, **options):
+        side = Side(*args, **options)
+        side.links.start()
+        sides.append(side)
+        return side
+
+    yield start_side
+    for side in reversed(sides):
+        side.links.stop()
+
+
+def connect(start, address, **options):
+    """Return both sides and the stream ids after the handshake."""
+    server = start(address, **options)
+    client = start()
+    client.links.dial("server", address, lambda: Heartbeat(1))
+    accepted, first, key = server.next("opened")
+    assert (first, key) == (Heartbeat(1), None)
+    server.links.send(accepted, Heartbeat(2))
+    server.links.flush()
+    dialled, first, key = client.next("opened")
+    assert (first, key) == (Heartbeat(2), "server")
+    return server, client, accepted, dialled
+
+
+def receive(side, count):
+    messages = []
+    while len(messages) < count:
+        messages += side.next("received")[1]
+    return messages
+
+
+def test_messages_arrive_once_and_in_order_in_few_frames(start, address):
+    """Guards against lost wake-ups and against one frame per message."""
+    server, client, _, dialled = connect(start, address)
+    sent = [Heartbeat(number) for number in range(2000)]
+    for message in sent:
+        client.links.send(dialled, message)
+        client.links.flush()
+    assert receive(server, len(sent)) == sent
+    counted = report(server.links.traffic)["received"]
+    assert counted["types"]["Heartbeat"]["messages"] == len(sent) + 1
+    assert counted["frames"] < len(sent) / 4
+    assert report(client.links.traffic)["sent"]["bytes"] == counted["bytes"]
+
+
+def test_large_batches_are_split_and_arrive(start, address):
+    """Guards against frames beyond the flow-control window."""
+    server, client, accepted, _ = connect(start, address)
+    sent = [Acknowledge([bytes([number]) * 700_000]) for number in range(12)]
+    for message in sent:
+        server.links.send(accepted, message)
+    server.links.flush()
+    assert receive(client, len(sent)) == sent
+
+
+def test_refused_connection_is_told_from_other_failures(start, address):
+    """Guards against a takeover of an entry that merely does not answer."""
+    client = start()
+    client.links.dial("gone", address, lambda: Heartbeat(1))
+    assert client.next("dial_failed") == ("gone", True)
+    client.links.hang_up("gone")
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        client.links.probe("alive", f"127.0.0.1:{silent.getsockname()[1]}")
+        with pytest.raises(queue.Empty):
+            while True:
+                name, key, _ = client.events.get(timeout=0.3)
+                assert (name, key) == ("dial_failed", "gone")
+    client.links.probe("gone", address)
+    assert client.next("dial_failed") == ("gone", True)
+
+
+def test_stream_is_dialled_again_after_the_server_restarts(start, address):
+    server, client, _, dialled = connect(start, address)
+    server.links.stop()
+    assert client.next("closed")[0] == dialled
+    restarted = start(address)
+    assert restarted.next("opened")[1] == Heartbeat(1)
+
+
+def test_close_sends_what_is_queued_first(start, address):
+    """Guards against losing the last results of a process that stops."""
+    server, client, _, dialled = connect(start, address)
+    for number in range(100):
+        client.links.send(dialled, Heartbeat(number))
+    client.links.close(dialled, "done")
+    assert len(receive(server, 100)) == 100
+    assert server.next("closed")
+    assert client.next("closed") == (dialled, "done")
+
+
+def test_peer_that_does_not_read_is_cut_off(start, address):
+    """Guards against memory that grows with a paused peer."""
+    server = start(address, max_queued_bytes=2_000_000)
+    client = start()
+    client.links.dial("server", address, lambda: Heartbeat(1))
+    accepted, _, _ = server.next("opened")
+    paused, resume = threading.Event(), threading.Event()
+    client.links._loop.call_soon_threadsafe(lambda: (paused.set(), resume.wait(WAIT_S)))
+    assert paused.wait(WAIT_S)
+    for _ in range(30):
+        server.links.send(accepted, Acknowledge([bytes(1_000_000)]))
+    server.links.flush()
+    assert server.next("closed") == (accepted, "send queue full")
+    resume.set()
+
+
+def test_port_in_use_is_a_typed_error(start, address):
+    start(address)
+    with pytest.raises(AddressInUse):
+        start(address)
