--- a/turmericknot/conf/global_settings.py
+++ b/turmericknot/conf/global_settings.py
@@ -46,3 +46,5 @@
 RESULT_RETENTION_S = 60.0
 RESULT_MEMORY_BYTES = 64 * 1024 * 1024
 LEASE_MARGIN_S = 5.0
+# At least the entries' key lifetime plus twice the skew bound.
+FENCE_LIFETIME_S = 610.0
--- a/turmericknot/conf/schema.py
+++ b/turmericknot/conf/schema.py
@@ -79,5 +79,6 @@
     result_retention_s: float = defaults.RESULT_RETENTION_S
     result_memory_bytes: int = defaults.RESULT_MEMORY_BYTES
     lease_margin_s: float = defaults.LEASE_MARGIN_S
+    fence_lifetime_s: float = defaults.FENCE_LIFETIME_S
     log_level: str = "info"
     membership: MembershipSettings = msgspec.field(default_factory=MembershipSettings)
--- a/turmericknot/dispatch/events.py
+++ b/turmericknot/dispatch/events.py
@@ -228,3 +228,4 @@
     output: bytes
     run_ms: float
     error: str = ""
+    started: bool = True  # False: the start provably did not reach the worker
--- /dev/null
+++ b/turmericknot/dispatch/fences.py
@@ -0,0 +1,46 @@
+"""Fences that an agent enforces: owners whose starts it rejects."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class FencedOwner:
+    """Fences of one owner."""
+
+    all_jobs_by: str = ""  # the entry that took over every job
+    jobs: dict[bytes, str] = field(default_factory=dict)
+    expires_at: float = 0.0  # monotonic
+
+
+@dataclass(slots=True)
+class FenceTable:
+    """All fences an agent has heard of."""
+
+    lifetime_s: float
+    _owners: dict[str, FencedOwner] = field(default_factory=dict)
+
+    def add(self, owner, fenced_by, jobs, now):
+        """Add a fence; an empty ``jobs`` list covers every job of the owner."""
+        fenced = self._owners.setdefault(owner, FencedOwner())
+        fenced.expires_at = now + self.lifetime_s
+        if not jobs:
+            fenced.all_jobs_by = fenced_by
+        for job in jobs:
+            fenced.jobs[job] = fenced_by
+
+    def fenced_by(self, owner, job):
+        """Return who took the job over from the owner, or an empty string."""
+        fenced = self._owners.get(owner)
+        if fenced is None:
+            return ""
+        return fenced.jobs.get(job) or fenced.all_jobs_by
+
+    def expire(self, now):
+        """Drop fences older than any key that they can concern."""
+        for owner in [o for o, f in self._owners.items() if f.expires_at < now]:
+            del self._owners[owner]
+
+
+def create_fence_table(lifetime_s):
+    """Return an empty table; fences live ``lifetime_s`` seconds."""
+    return FenceTable(lifetime_s)
