--- a/turmericknot/conf/schema.py
+++ b/turmericknot/conf/schema.py
@@ -51,6 +51,8 @@
     region: str
     http_address: str = defaults.HTTP_ADDRESS
     link_address: str = defaults.LINK_ADDRESS
+    # What agents and peers dial; empty: the listening address.
+    advertised_link_address: str = ""
     log_url: str = defaults.LOG_URL
     statsd_address: str = defaults.STATSD_ADDRESS
     seed_entries: tuple[str, ...] = defaults.SEED_ENTRIES
