--- a/turmericknot/management/commands/load.py
+++ b/turmericknot/management/commands/load.py
@@ -26,8 +26,8 @@
     print(
         f"{summary['jobs']} jobs, {figures['complete']} complete, p50 "
         f"{figures['response_ms_p50']:.1f} ms, "
-        f"p99 {figures['response_ms_p99']:.1f} ms, p50 {figures['ratio_p50']:.3f}; "
-        f"report in {output}/report.md"
+        f"p99 {figures['response_ms_p99']:.1f} ms, "
+        f"ratio p50 {figures['ratio_p50']:.3f}; report in {output}/report.md"
     )
     for outcome in report.faults(outcomes)[:10]:
         print(f"job {outcome.number}: {outcome.status} {outcome.fault}")
