--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -63,3 +63,11 @@
 
 class RequestError(TurmericknotError):
     """A caller's request is malformed."""
+
+
+class TargetRefused(TargetError):
+    """The target did not start the task and never will."""
+
+
+class TargetLost(TargetError):
+    """The call broke off: the target may have started the task."""
