--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -71,3 +71,7 @@
 
 class TargetLost(TargetError):
     """The call broke off: the target may have started the task."""
+
+
+class DispatcherFailed(ServiceError):
+    """The decision logic raised an exception; its state cannot be trusted."""
--- /dev/null
+++ b/turmericknot/core/http_server.py
@@ -0,0 +1,174 @@
+"""cheroot as a kernel service, and the JSON request cycle of both roles."""
+
+import errno
+import threading
+from http import HTTPStatus
+
+import msgspec
+from cheroot import wsgi
+from cheroot.errors import MaxSizeExceeded
+
+from turmericknot.utils.logging import get_logger
+
+from .addresses import split_address
+from .exceptions import AddressInUse, RequestError
+
+REQUEST_QUEUE = 512
+IDLE_TIMEOUT_S = 60
+SHUTDOWN_TIMEOUT_S = 5
+# Threads are added in steps while callers wait for answers.
+GROW_STEP = 16
+
+_encoder = msgspec.json.Encoder()
+
+
+class HttpServer:
+    """A listening server whose thread pool grows with the waiting requests."""
+
+    __slots__ = (
+        "_address",
+        "_app",
+        "_threads",
+        "_max_threads",
+        "_max_body_bytes",
+        "_server",
+        "_serving",
+        "_waiting",
+        "_size",
+        "_lock",
+    )
+
+    def __init__(self, address, app, threads, max_threads, max_body_bytes):
+        self._address = address
+        self._app = app
+        self._threads = threads
+        self._max_threads = max(threads, max_threads)
+        self._max_body_bytes = max_body_bytes
+        self._server = None
+        self._serving = None
+        self._waiting = 0
+        self._size = threads
+        self._lock = threading.Lock()
+
+    @property
+    def has_spare_thread(self):
+        """Return whether a request may hold a thread while it waits."""
+        return self._waiting < self._max_threads - GROW_STEP
+
+    def start(self):
+        """Bind and serve; raise AddressInUse when the port is taken."""
+        server = wsgi.Server(
+            split_address(self._address),
+            self._app,
+            numthreads=self._threads,
+            max=self._max_threads,
+            request_queue_size=REQUEST_QUEUE,
+            timeout=IDLE_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
+        server.max_request_body_size = self._max_body_bytes
+        server.error_log = _log_server_error
+        try:
+            server.prepare()
+        except OSError as error:
+            if _is_address_in_use(error):
+                raise AddressInUse(f"HTTP address {self._address}") from error
+            raise
+        self._server = server
+        self._serving = threading.Thread(target=server.serve, name="http", daemon=True)
+        self._serving.start()
+
+    def stop(self):
+        """Finish requests in progress and close the socket."""
+        if self._server is not None:
+            self._server.stop()
+            self._serving.join()
+
+    def __enter__(self):
+        """Count a request that is about to wait; add threads when few are left."""
+        with self._lock:
+            self._waiting += 1
+            short = self._waiting > self._size - GROW_STEP // 2
+            grow = short and self._size < self._max_threads
+            if grow:
+                self._size += GROW_STEP
+        if grow:
+            self._server.requests.grow(GROW_STEP)
+
+    def __exit__(self, *error):
+        """Count the end of the wait."""
+        with self._lock:
+            self._waiting -= 1
+
+
+def create_http_server(address, app, threads, max_threads, max_body_bytes):
+    """Return a server of a WSGI application that is not started."""
+    return HttpServer(address, app, threads, max_threads, max_body_bytes)
+
+
+class HttpError(RequestError):
+    """End a request with a status and an error code."""
+
+    def __init__(self, status, code, detail=""):
+        super().__init__(f"{code}: {detail}")
+        self.status, self.code, self.detail = status, code, detail
+
+
+def create_json_app(route):
+    """Return a WSGI application around ``route(method, path) -> handler or None``.
+
+    A handler takes the WSGI environment and returns ``(status, body, headers)``.
+    """
+
+    def app(environ, start_response):
+        try:
+            method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+            status, body, headers = route(method, path)(environ)
+        except HttpError as error:
+            status, headers = error.status, []
+            body = {"error": error.code, "detail": error.detail}
+        except Exception:
+            get_logger().exception("http.failed", path=environ["PATH_INFO"])
+            status, headers, body = 500, [], {"error": "internal_error", "detail": ""}
+        data = _encoder.encode(body)
+        headers += [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ]
+        start_response(f"{status} {HTTPStatus(status).phrase}", headers)
+        return [data]
+
+    return app
+
+
+def read_body(environ, kind):
+    """Return the typed JSON body or raise HttpError."""
+    try:
+        data = environ["wsgi.input"].read()
+    except MaxSizeExceeded as error:
+        raise HttpError(413, "body_too_large") from error
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.ValidationError as error:
+        raise HttpError(400, "invalid_body", str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise HttpError(400, "malformed_json", str(error)) from error
+
+
+def _is_address_in_use(error):
+    # cheroot wraps the error of bind and keeps only its text in the message.
+    while error is not None:
+        if getattr(error, "errno", None) == errno.EADDRINUSE:
+            return True
+        if "Address already in use" in str(error):
+            return True
+        error = error.__cause__
+    return False
+
+
+def _log_server_error(msg="", level=20, traceback=False):
+    log = get_logger()
+    if traceback:
+        log.exception("http.server_error", detail=msg)
+    else:
+        log.debug("http.server", detail=msg)
