--- /dev/null
+++ b/turmericknot/dispatch/agents.py
@@ -0,0 +1,315 @@
+"""Agents as an entry sees them: streams, roster, assignments and results."""
+
+from turmericknot.dispatch import answers, appends, cancellation, ownership, takeover
+from turmericknot.dispatch.entry_state import Agent, Phase, count, send, wake
+from turmericknot.dispatch.tasks import JobStatus, Reason
+from turmericknot.wire import messages
+from turmericknot.wire.messages import Assign, Welcome
+
+ROSTER_CHECK_S = 1.0
+
+
+def connected(state, event):
+    """Welcome an agent; what an older stream carried is in doubt from here on."""
+    hello = event.hello
+    agent = state.agents.get(hello.incarnation)
+    if agent is None:
+        agent = Agent(hello.incarnation, hello)
+        state.agents[hello.incarnation] = agent
+    elif agent.stream is not None:
+        _leave(state, agent)
+    agent.hello = hello
+    agent.stream = event.stream
+    agent.rostered = False
+    state.agent_streams[event.stream] = agent
+    send(state, event.stream, _welcome(state))
+    state.policy.agent_joined(state.scheduler, event.stream, hello, state.now)
+    update_roster(state, agent)
+    if not agent.rostered:
+        state.roster_queue.add(agent.incarnation)
+    takeover.resend_fences(state, agent)
+
+
+def _welcome(state):
+    peers = [peer.address for peer in state.peers.values() if not peer.refused]
+    address = state.address
+    return Welcome(
+        messages.PROTOCOL_VERSION,
+        address.entry_id,
+        address.incarnation,
+        [address, *peers],
+        0,
+    )
+
+
+def disconnected(state, event):
+    """Keep what was sent in doubt until the incarnation comes back."""
+    agent = state.agent_streams.get(event.stream)
+    if agent is not None:
+        _leave(state, agent)
+
+
+def _leave(state, agent):
+    del state.agent_streams[agent.stream]
+    state.policy.agent_left(state.scheduler, agent.stream, state.now)
+    agent.stream = None
+    agent.lost_at = state.now
+    agent.fence_replies.clear()
+    for job_id, indexes in agent.sent.items():
+        agent.doubtful.setdefault(job_id, set()).update(indexes)
+        job = state.jobs.get(job_id)
+        if job is not None:
+            wake(state, state.now + state.settings.claims.inventory_timeout_s, job)
+    agent.sent = {}
+
+
+def update_roster(state, agent):
+    """Tell the scheduler whether the agent may be given claimed work."""
+    rostered = is_rostered(state, agent)
+    if rostered != agent.rostered:
+        agent.rostered = rostered
+        state.policy.set_rostered(state.scheduler, agent.stream, rostered, state.now)
+
+
+def is_rostered(state, agent):
+    """Return True when the agent's newest roster record is fresh enough.
+
+    The clock skew is taken off, so that an owner with a slow clock uses no agent
+    that a takeover would not count.
+    """
+    claims = state.settings.claims
+    oldest = state.wall - (claims.roster_ttl_s - claims.max_clock_skew_s)
+    return state.table.roster.get(agent.incarnation, float("-inf")) >= oldest
+
+
+def roster_read(state, roster):
+    """Agents were put on the roster or refreshed."""
+    for incarnation in roster.agents:
+        agent = state.agents.get(incarnation)
+        if agent is not None and agent.stream is not None:
+            update_roster(state, agent)
+
+
+def assign(state):
+    """Send what the scheduler decided."""
+    for assignment in state.policy.next_assignments(state.scheduler, state.now):
+        agent = state.agent_streams.get(assignment.stream)
+        job = state.jobs.get(assignment.job)
+        if job is None or job.phase is not Phase.RUNNING:
+            continue
+        if agent is None or not _may_send(state, job, agent):
+            _return(state, assignment.stream, job, assignment.indexes)
+            continue
+        _send_tasks(state, job, agent, assignment)
+
+
+def _may_send(state, job, agent):
+    claims = state.settings.claims
+    if state.wall > job.expires_at - claims.max_clock_skew_s:
+        return False
+    return is_rostered(state, agent) if job.claimed else True
+
+
+def _return(state, stream, job, indexes):
+    state.policy.tasks_returned(state.scheduler, stream, job.id, indexes, state.now)
+
+
+def _send_tasks(state, job, agent, assignment):
+    sent = agent.sent.setdefault(job.id, set())
+    tasks = []
+    for index in assignment.indexes:
+        if index in job.outcomes or index in job.located:
+            continue
+        job.located[index] = agent.incarnation
+        sent.add(index)
+        tasks.append(state.policy.spec_for(state.scheduler, job.id, index))
+    waiting, entitlement = state.policy.waiting(state.scheduler, assignment.stream)
+    message = Assign(
+        job.id,
+        state.me,
+        job.spec.team,
+        job.spec.task_class,
+        job.expires_at,
+        job.deadline - state.now,
+        tasks,
+        waiting,
+        entitlement,
+        assignment.window_sequence,
+    )
+    if tasks:
+        send(state, assignment.stream, message)
+
+
+def send_demand(state):
+    """Tell agents of work that began or ceased to wait."""
+    for stream, demand in state.policy.demand(state.scheduler, state.now):
+        send(state, stream, demand)
+
+
+def window(state, agent, message):
+    """Take the agent's window; without an inventory before it there is none."""
+    if agent.doubtful:
+        reconcile(state, agent, {})
+    state.policy.set_window(state.scheduler, agent.stream, message, state.now)
+
+
+def results(state, agent, message):
+    """Take outcomes of tasks."""
+    job = state.jobs.get(message.job)
+    for result in message.results:
+        _forget_sent(agent, message.job, result.index)
+        state.policy.task_done(
+            state.scheduler,
+            agent.stream,
+            message.job,
+            result.index,
+            result.status,
+            result.run_ms,
+            state.now,
+        )
+    if job is None or job.phase is Phase.ENDED:
+        state.acknowledgements.setdefault(agent.incarnation, []).append(message.job)
+        return
+    if job.phase not in ownership.WORKING:
+        return
+    job.reported_by.add(agent.incarnation)
+    for result in message.results:
+        answers.task_ended(state, job, result)
+
+
+def _forget_sent(agent, job_id, index):
+    for kind in (agent.sent, agent.doubtful):
+        indexes = kind.get(job_id)
+        if indexes is not None:
+            indexes.discard(index)
+            if not indexes:
+                del kind[job_id]
+
+
+def returned(state, agent, message):
+    """Queue tasks again that the agent gave back unstarted."""
+    job = state.jobs.get(message.job)
+    _not_started(state, agent, job, message.job, message.indexes)
+
+
+def _not_started(state, agent, job, job_id, indexes):
+    known = []
+    for index in indexes:
+        _forget_sent(agent, job_id, index)
+        if job is not None and job.located.get(index) == agent.incarnation:
+            del job.located[index]
+            known.append(index)
+    if known and job.phase is Phase.RUNNING:
+        _return(state, agent.stream, job, known)
+
+
+def rejected(state, agent, message):
+    """An agent refused tasks because this entry was fenced for the job."""
+    job = state.jobs.get(message.job)
+    _not_started(state, agent, None, message.job, message.indexes)
+    if message.owner != state.me or message.fenced_by == state.me:
+        return
+    if job is not None and job.phase in ownership.WORKING:
+        ownership.lost(state, job, message.fenced_by)
+        appends.read_now(state)
+
+
+def inventory(state, agent, message):
+    """Learn what the agent has started: of this entry's, or of a fenced owner's."""
+    if message.owner != state.me:
+        takeover.inventory(state, agent, message)
+        return
+    listed = {entry.job: entry for entry in message.jobs}
+    reconcile(state, agent, listed)
+
+
+def reconcile(state, agent, listed):
+    """Settle the tasks sent on broken streams; what is not listed did not start."""
+    doubtful, agent.doubtful = agent.doubtful, {}
+    for job_id, entry in listed.items():
+        job = state.jobs.get(job_id)
+        if job is None or job.phase not in ownership.WORKING:
+            state.acknowledgements.setdefault(agent.incarnation, []).append(job_id)
+            continue
+        _settle_started(state, job, agent, entry)
+    for job_id, indexes in doubtful.items():
+        job = state.jobs.get(job_id)
+        if job is None:
+            continue
+        entry = listed.get(job_id)
+        started = _started(entry) if entry is not None else set()
+        _not_started(state, agent, job, job_id, sorted(indexes - started))
+        if job.phase is Phase.CANCELLING:
+            cancellation.agent_back(state, job, agent)
+
+
+def _started(entry):
+    finished = {result.index for result in entry.results}
+    return finished | set(entry.running) | set(entry.forgotten)
+
+
+def _settle_started(state, job, agent, entry):
+    for index in entry.running:
+        takeover.adopt(job, agent, index)
+    for result in entry.results:
+        job.reported_by.add(agent.incarnation)
+        answers.task_ended(state, job, result)
+    lost = set(entry.forgotten) - set(job.outcomes)
+    if lost and job.phase in ownership.WORKING:
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.MAY_HAVE_STARTED)
+
+
+def check_lost(state, job):
+    """End a job some of whose tasks sit on an agent that did not come back."""
+    timeout_s = state.settings.claims.inventory_timeout_s
+    for incarnation in set(job.located.values()):
+        agent = state.agents.get(incarnation)
+        if agent is None or job.id not in agent.doubtful:
+            continue
+        # A stream that was opened again settles the doubt by its inventory.
+        if state.now < agent.lost_at + timeout_s - TIMER_SLACK_S:
+            continue
+        count(state, "agents_not_back")
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.WORKER_LOST)
+        return
+
+
+TIMER_SLACK_S = 1e-6
+
+
+def draining(state, agent, message):
+    """The agent leaves: it gets no more work."""
+    state.policy.agent_draining(state.scheduler, agent.stream, state.now)
+
+
+def forget_gone(state):
+    """Drop agents that left long ago and hold nothing of interest."""
+    oldest = state.now - state.settings.claims.max_key_lifetime_s
+    for agent in list(state.agents.values()):
+        if agent.stream is None and agent.lost_at < oldest:
+            del state.agents[agent.incarnation]
+
+
+def ignore(state, agent, message):
+    """Take a message that matters to membership alone."""
+
+
+MESSAGES = {
+    messages.Window: window,
+    messages.Results: results,
+    messages.Returned: returned,
+    messages.Rejected: rejected,
+    messages.Inventory: inventory,
+    messages.Draining: draining,
+    messages.RecallDone: cancellation.recall_done,
+    messages.Heartbeat: ignore,
+    messages.ConfigApplied: ignore,
+}
+
+
+def message(state, event):
+    """Handle a message on the open stream of an agent."""
+    agent = state.agent_streams.get(event.stream)
+    handler = MESSAGES.get(type(event.message))
+    if agent is not None and handler is not None:
+        handler(state, agent, event.message)
--- /dev/null
+++ b/turmericknot/dispatch/answers.py
@@ -0,0 +1,171 @@
+"""How a job ends, and answers that are kept until their key expires."""
+
+from turmericknot.dispatch import appends
+from turmericknot.dispatch.claims import EXPIRED_CLAIM_GRACE_S
+from turmericknot.dispatch.commands import Respond
+from turmericknot.dispatch.entry_state import Phase, count, emit, new_request, send
+from turmericknot.dispatch.tasks import Answer, JobStatus, Reason, TaskAnswer
+from turmericknot.wire.messages import Acknowledge, JobAnswer, Recall, TaskStatus
+
+# Bound of the memory for outputs of ended jobs; the oldest are dropped first.
+KEPT_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+def complete(state, job):
+    """End a job whose tasks are all done: in order and whole."""
+    results = [
+        TaskAnswer(index, job.outcomes[index].output, job.outcomes[index].run_ms)
+        for index in range(len(job.spec.tasks))
+    ]
+    end(state, job, JobStatus.COMPLETE, results=results)
+
+
+def end(state, job, status, reason=Reason.NONE, detail="", retry_s=0.0, results=()):
+    """End a job with an answer of this entry."""
+    answer = Answer(job.id, status, reason, detail, retry_s, job.claimed, list(results))
+    finish(state, job, answer)
+
+
+def finish(state, job, answer):
+    """End a job with this answer, once."""
+    if job.phase is Phase.ENDED:
+        return
+    _stop_work(state, job)
+    job.phase = Phase.ENDED
+    job.answer = answer
+    state.active -= 1
+    count(state, f"ended_{answer.status}")
+    requests, job.requests = job.requests, []
+    for request in requests:
+        emit(state, Respond(request, answer))
+    _answer_peers(state, job)
+    _keep(state, job)
+
+
+def respond(state, job, request):
+    """Give the kept answer to another request of the same job."""
+    emit(state, Respond(request, job.answer))
+
+
+def refuse_request(state, request, job, status, reason, detail=""):
+    """Answer one request without touching the job."""
+    emit(state, Respond(request, Answer(job, status, reason, detail)))
+
+
+def answer_peer(state, stream, request, job, answer):
+    """Answer AwaitJob or CancelJob of another entry."""
+    send(state, stream, JobAnswer(request, job, encode_answer(answer)))
+
+
+def encode_answer(answer):
+    """Return the bytes of an answer for a peer."""
+    return appends.encode_record(answer)
+
+
+def _answer_peers(state, job):
+    waiting, job.peer_requests = job.peer_requests, []
+    for stream, request in waiting:
+        if stream in state.peer_streams:
+            answer_peer(state, stream, request, job.id, job.answer)
+
+
+def _stop_work(state, job):
+    """Drop what is queued and stop what still runs; nobody needs it."""
+    if job.spec is None or job.phase is Phase.FOLLOWING:
+        return
+    state.policy.remove_job(state.scheduler, job.id, state.now)
+    for incarnation in set(job.located.values()):
+        recall(state, state.agents.get(incarnation), job)
+    for incarnation in job.reported_by:
+        state.acknowledgements.setdefault(incarnation, []).append(job.id)
+
+
+def recall(state, agent, job):
+    """Ask an agent to start nothing more of the job and to stop what runs."""
+    if agent is None or agent.stream is None:
+        return
+    request = new_request(state)
+    state.recalls[request] = (agent.incarnation, [job.id])
+    send(state, agent.stream, Recall(request, [job.id], stop=True))
+
+
+def _keep(state, job):
+    """Keep the answer until the key's expiry, within bounded memory."""
+    job.formers.clear()
+    job.missing.clear()
+    if not job.final:
+        del state.jobs[job.id]
+        return
+    if job.spec is not None:
+        job.spec.tasks = []
+    state.kept.append(job.id)
+    state.kept_bytes += _size(job.answer)
+    while state.kept_bytes > KEPT_ANSWER_BYTES and state.kept:
+        _drop_results(state, state.jobs.get(state.kept.popleft()))
+
+
+def _size(answer):
+    return sum(len(result.output) for result in answer.results)
+
+
+def _drop_results(state, job):
+    """Replace an answer by the statement that it is gone; the job stays ended."""
+    if job is None or job.answer is None or not job.answer.results:
+        return
+    state.kept_bytes -= _size(job.answer)
+    job.outcomes.clear()
+    job.answer = Answer(
+        job.id, JobStatus.UNKNOWN, Reason.ANSWER_DROPPED, "the answer was dropped"
+    )
+
+
+def forget_expired(state):
+    """Forget jobs whose key expired; a resubmission is refused by its expiry."""
+    limit = state.wall - EXPIRED_CLAIM_GRACE_S
+    for job in [job for job in state.jobs.values() if job.expires_at < limit]:
+        if job.phase is Phase.ENDED:
+            state.kept_bytes -= _size(job.answer)
+            del state.jobs[job.id]
+    known = state.jobs
+    state.kept = type(state.kept)(job for job in state.kept if job in known)
+
+
+def flush_acknowledgements(state):
+    """Tell each agent which jobs' results it may drop, in one message."""
+    for incarnation, jobs in state.acknowledgements.items():
+        agent = state.agents.get(incarnation)
+        if agent is not None and agent.stream is not None:
+            send(state, agent.stream, Acknowledge(jobs))
+    state.acknowledgements = {}
+
+
+def judge(state, job):
+    """End the job if its outcomes decide it."""
+    if job.phase is not Phase.RUNNING and job.phase is not Phase.INVENTORY:
+        return
+    if len(job.outcomes) < len(job.spec.tasks):
+        return
+    complete(state, job)
+
+
+ENDINGS = {
+    TaskStatus.FAILED: (JobStatus.FAILED, Reason.TASK_FAILED),
+    TaskStatus.STOPPED: (JobStatus.FAILED, Reason.TASK_FAILED),
+    TaskStatus.UNKNOWN: (JobStatus.UNKNOWN, Reason.WORKER_LOST),
+}
+
+
+def task_ended(state, job, result):
+    """Take the first outcome of a task; one that is not ok ends the job."""
+    job.may_have_started = True
+    job.located.pop(result.index, None)
+    if result.index in job.outcomes or job.phase is Phase.ENDED:
+        return
+    if result.status == TaskStatus.OK:
+        job.outcomes[result.index] = result
+        judge(state, job)
+        return
+    if job.phase is Phase.CANCELLING:
+        return
+    status, reason = ENDINGS[result.status]
+    end(state, job, status, reason, f"task {result.index}: {result.error}")
--- /dev/null
+++ b/turmericknot/dispatch/appends.py
@@ -0,0 +1,220 @@
+"""Appends of an entry to stream ``claims``: group commit, budget, read-back."""
+
+from turmericknot.dispatch.claims import (
+    STREAM,
+    Claim,
+    Fence,
+    Presence,
+    Roster,
+    encode_record,
+)
+from turmericknot.dispatch.commands import AppendRecord, ReadLog
+from turmericknot.dispatch.entry_state import (
+    PendingAppend,
+    Phase,
+    count,
+    emit,
+    new_record,
+)
+
+# Half of the budget may be used before claims wait for company.
+FREE_BUDGET_SHARE = 0.5
+ROSTER_JITTER = 0.5
+ROSTER_RETRY_S = 1.0
+
+
+def queue_claim(state, job):
+    """Have the job claimed by the next claim record."""
+    state.claim_queue.append(job.id)
+    flush(state)
+
+
+def queue_fence(state, owner, jobs):
+    """Have jobs of an owner, or with an empty list all of them, fenced."""
+    queued = state.fence_queue.get(owner)
+    if queued is None or not jobs:
+        state.fence_queue[owner] = list(jobs)
+    elif queued:
+        queued.extend(jobs)
+    flush(state)
+
+
+def flush(state):
+    """Append what waits, unless the group commit's window is still open."""
+    if not (state.claim_queue or state.fence_queue or state.roster_queue):
+        return
+    _refill(state)
+    if state.tokens < 1.0 or state.now < state.last_flush + _window(state):
+        return
+    state.last_flush = state.now
+    _append_claims(state)
+    _append_fences(state)
+    _append_roster(state)
+
+
+def next_flush(state):
+    """Return when waiting records may be appended, or None."""
+    if not (state.claim_queue or state.fence_queue or state.roster_queue):
+        return None
+    _refill(state)
+    lacking = max(0.0, 1.0 - state.tokens)
+    budget_at = state.now + lacking / state.settings.claims.append_budget_per_s
+    return max(budget_at, state.last_flush + _window(state))
+
+
+def _refill(state):
+    budget = state.settings.claims.append_budget_per_s
+    elapsed = max(0.0, state.now - state.tokens_at)
+    state.tokens = min(budget, state.tokens + elapsed * budget)
+    state.tokens_at = state.now
+
+
+def _window(state):
+    """Return how long claims wait for company: longer, the less budget is left."""
+    claims = state.settings.claims
+    used = 1.0 - state.tokens / claims.append_budget_per_s
+    if used <= FREE_BUDGET_SHARE:
+        return 0.0
+    share = (used - FREE_BUDGET_SHARE) / (1.0 - FREE_BUDGET_SHARE)
+    spread = claims.claim_window_max_s - claims.claim_window_min_s
+    return claims.claim_window_min_s + share * spread
+
+
+def _append(state, kind, record, jobs=()):
+    pending = PendingAppend(record.record, kind, encode_record(record), list(jobs))
+    state.appends[pending.record] = pending
+    _issue(state, pending)
+
+
+def _issue(state, pending):
+    state.tokens -= 1.0
+    count(state, "appends")
+    emit(state, AppendRecord(STREAM, pending.record, pending.data))
+
+
+def _append_claims(state):
+    jobs = [state.jobs[job] for job in state.claim_queue if job in state.jobs]
+    state.claim_queue.clear()
+    jobs = [job for job in jobs if job.phase is Phase.CLAIMING]
+    if not jobs:
+        return
+    record = new_record(state)
+    for job in jobs:
+        job.claim_record = record
+    pairs = [(job.id, job.expires_at) for job in jobs]
+    _append(state, "claim", Claim(record, state.me, pairs), [job.id for job in jobs])
+
+
+def _append_fences(state):
+    for owner, jobs in state.fence_queue.items():
+        record = Fence(new_record(state), owner, state.me, jobs)
+        _append(state, "fence", record, jobs)
+    state.fence_queue.clear()
+
+
+def _append_roster(state):
+    agents = sorted(state.roster_queue)
+    state.roster_queue.clear()
+    if agents:
+        record = Roster(new_record(state), state.address.entry_id, agents)
+        _append(state, "roster", record)
+
+
+def append_presence(state):
+    """Tell the other entries where this one is reached."""
+    address = state.address
+    record = Presence(
+        new_record(state),
+        address.entry_id,
+        address.incarnation,
+        address.link_address,
+        address.failure_domain,
+        address.region,
+    )
+    _append(state, "presence", record)
+
+
+def append_succeeded(state, event):
+    """The record is in the log; read it to learn what it decided."""
+    state.appends.pop(event.record, None)
+    if event.offset >= state.table.next_offset:
+        read_now(state)
+
+
+def append_failed(state, event):
+    """Try again, after a read-back when the record may have been written."""
+    pending = state.appends.get(event.record)
+    if pending is None:
+        return
+    count(state, "append_failures")
+    pending.uncertain_since = state.now
+    if event.written is None:
+        read_now(state)
+        return
+    for job in _jobs_of(state, pending):
+        job.claim_record = b""
+    del state.appends[pending.record]
+    _queue_again(state, pending)
+
+
+def record_read(state, record):
+    """Note that a record of this entry was found in the log."""
+    state.appends.pop(record, None)
+
+
+def read_back_done(state, asked_at):
+    """Append again what a read after the lost answer did not find.
+
+    The record may still land later. A second copy changes nothing: the first one
+    in the log decides, and both name the same owner.
+    """
+    for pending in list(state.appends.values()):
+        if pending.uncertain_since is None or pending.uncertain_since > asked_at:
+            continue
+        pending.uncertain_since = None
+        if pending.kind != "claim" or _jobs_of(state, pending):
+            _issue(state, pending)
+
+
+def _jobs_of(state, pending):
+    jobs = [state.jobs[job] for job in pending.jobs if job in state.jobs]
+    return [job for job in jobs if job.phase is Phase.CLAIMING]
+
+
+def _queue_again(state, pending):
+    """Queue what a record that was not written asked for; sent on a later tick."""
+    if pending.kind == "claim":
+        state.claim_queue.extend(job.id for job in _jobs_of(state, pending))
+    elif pending.kind == "fence":
+        state.appends[pending.record] = pending
+        pending.uncertain_since = state.now
+    elif pending.kind == "roster":
+        state.roster_due = min(state.roster_due, state.now + ROSTER_RETRY_S)
+
+
+def read_now(state):
+    """Ask for a read of the log unless one was asked for in this event."""
+    if state.read_asked_at < state.now:
+        state.read_asked_at = state.now
+        emit(state, ReadLog())
+
+
+def tick(state):
+    """Refresh the presence of this entry and the roster of its agents."""
+    claims = state.settings.claims
+    if state.now >= state.presence_due:
+        state.presence_due = state.now + claims.presence_refresh_s
+        append_presence(state)
+    if state.now >= state.roster_due:
+        jitter = 1.0 + ROSTER_JITTER * state.rng.random()
+        state.roster_due = state.now + claims.roster_refresh_s * jitter / 4
+        _queue_stale_agents(state)
+    flush(state)
+
+
+def _queue_stale_agents(state):
+    stale = state.wall - state.settings.claims.roster_refresh_s
+    for agent in state.agent_streams.values():
+        seen = state.table.roster.get(agent.incarnation)
+        if seen is None or (seen <= stale and state.is_home(state, agent.incarnation)):
+            state.roster_queue.add(agent.incarnation)
--- /dev/null
+++ b/turmericknot/dispatch/cancellation.py
@@ -0,0 +1,109 @@
+"""Cancels: acknowledged only when no agent can start anything of the job."""
+
+from turmericknot.dispatch import answers, submissions
+from turmericknot.dispatch.entry_state import Phase, enter, new_request, send
+from turmericknot.dispatch.scheduler import Refusal
+from turmericknot.dispatch.tasks import JobStatus, Reason
+from turmericknot.wire.messages import CancelJob
+
+CANCELLED = Refusal(Reason.CANCELLED, "cancelled by the caller")
+
+
+def cancelled(state, event):
+    """Cancel a job for a caller, who gets the job's answer."""
+    job = state.jobs.get(event.job)
+    if job is None:
+        job = _unknown_job(state, event.job)
+    submissions.join(state, job, event.request)
+    cancel(state, job)
+
+
+def _unknown_job(state, job_id):
+    """Create a job to pass the cancel on to its owner, if the table has one."""
+    record = state.table.jobs.get(job_id)
+    expires_at = state.wall if record is None else record.expires_at
+    return submissions.create_specless(state, job_id, expires_at)
+
+
+def cancel(state, job):
+    """Cancel a job in whatever phase it is."""
+    if job.phase is Phase.ENDED or job.cancelled:
+        return
+    job.cancelled = True
+    if job.phase is Phase.RUNNING:
+        start(state, job)
+    elif job.phase is Phase.FOLLOWING:
+        relay(state, job)
+    elif job.phase is Phase.LOCATING:
+        refuse_cancelled(state, job)
+    elif job.spec is None:
+        submissions.refuse(state, job, Refusal(Reason.NOT_FOUND, "no such job"))
+    # A claim, a fence or an inventory under way decides first who has to cancel.
+
+
+def relay(state, job):
+    """Pass the cancel on to the entry that owns the job."""
+    if job.follow_stream is not None:
+        request = new_request(state)
+        state.awaits[request] = job.id
+        send(state, job.follow_stream, CancelJob(request, job.id))
+
+
+def refuse_cancelled(state, job):
+    """Cancel a job whose claim was not decided, unless it runs elsewhere."""
+    submissions.refuse(state, job, CANCELLED)
+
+
+def start(state, job):
+    """Drop what is queued and recall what agents hold."""
+    state.policy.remove_job(state.scheduler, job.id, state.now)
+    enter(state, job, Phase.CANCELLING, state.settings.claims.inventory_timeout_s)
+    job.recalling = set(job.located.values())
+    for incarnation in job.recalling:
+        answers.recall(state, state.agents.get(incarnation), job)
+    _check(state, job)
+
+
+def recall_done(state, agent, message):
+    """An agent confirmed that it will start nothing more of these jobs."""
+    _, jobs = state.recalls.pop(message.request, ("", []))
+    for job_id in jobs:
+        job = state.jobs.get(job_id)
+        if job is not None and job.phase is Phase.CANCELLING:
+            job.recalling.discard(agent.incarnation)
+            _check(state, job)
+
+
+def agent_back(state, job, agent):
+    """Recall again what the agent still holds after its stream broke.
+
+    A broken stream proves nothing: the agent may notice it later and start a
+    queued task meanwhile. Its inventory or its confirmation does.
+    """
+    if agent.incarnation in job.located.values():
+        answers.recall(state, agent, job)
+        return
+    job.recalling.discard(agent.incarnation)
+    _check(state, job)
+
+
+def _check(state, job):
+    if not job.recalling:
+        end_cancelled(state, job)
+
+
+def end_cancelled(state, job):
+    """End a job of which nothing more can start."""
+    ran = job.may_have_started or job.outcomes or job.located
+    status = JobStatus.FAILED
+    # An idempotent job may run unclaimed at another entry, unseen by this one.
+    if not ran and not job.spec.idempotent:
+        status = JobStatus.NOT_RUN
+    answers.end(state, job, status, Reason.CANCELLED)
+
+
+def timed_out(state, job):
+    """An agent did not confirm: the cancel is not acknowledged."""
+    answers.end(
+        state, job, JobStatus.UNKNOWN, Reason.MAY_HAVE_STARTED, "cancel unconfirmed"
+    )
--- /dev/null
+++ b/turmericknot/dispatch/claims.py
@@ -0,0 +1,199 @@
+"""Stream ``claims``: its records and the table every entry builds from them.
+
+The table depends on the records and their order alone, so that all entries that
+have read to the same offset agree on every owner.
+"""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+STREAM = "claims"
+# Claims stay in the table this long after their key's expiry, so that a key that
+# expired a moment ago can still be told from one that was never claimed.
+EXPIRED_CLAIM_GRACE_S = 30.0
+# Records of a wholly fenced owner are void for this long; not above roster_ttl,
+# for which an entry must have read the log before it starts anything again.
+FENCED_OWNER_VOID_S = 120.0
+
+
+class Record(msgspec.Struct, array_like=True, frozen=True):
+    """Base class of the records."""
+
+
+class Claim(Record, tag=1):
+    """Claim jobs, given as (job id, expiry), for an owner."""
+
+    record: bytes
+    owner: str
+    jobs: list[tuple[bytes, float]]
+
+
+class Fence(Record, tag=2):
+    """Take jobs over from an owner; an empty list takes all of them."""
+
+    record: bytes
+    owner: str
+    by: str
+    jobs: list[bytes] = []
+
+
+class Presence(Record, tag=3):
+    """Tell where an entry is reached."""
+
+    record: bytes
+    entry_id: str
+    incarnation: str
+    link_address: str
+    failure_domain: str
+    region: str
+
+
+class Roster(Record, tag=4):
+    """Name agents that may be given claimed work from here on."""
+
+    record: bytes
+    entry: str
+    agents: list[str]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Claim | Fence | Presence | Roster)
+
+
+def encode_record(record):
+    """Return the bytes of a record."""
+    return _encoder.encode(record)
+
+
+def decode_record(data):
+    """Return the record, or None when this version does not know it."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+@dataclass(slots=True)
+class Ownership:
+    """Who owns a job and who owned it before, oldest first."""
+
+    owner: str
+    claimed_at: float  # log time of the first claim
+    expires_at: float
+    formers: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class ClaimTable:
+    """Owners of jobs, fenced owners and the roster of agents."""
+
+    jobs: dict[bytes, Ownership] = field(default_factory=dict)
+    owned: dict[str, set[bytes]] = field(default_factory=dict)
+    fenced: dict[str, float] = field(default_factory=dict)  # whole owner -> log time
+    roster: dict[str, float] = field(default_factory=dict)  # agent -> log time
+    next_offset: int = 0
+    # Log time from which the records are complete.
+    covered_from: float = float("-inf")
+    trimmed: bool = False
+    log_time: float = 0.0
+
+
+def advance(table, offset, time):
+    """Note that the record at the offset is being read; return False if it was."""
+    if offset < table.next_offset:
+        return False
+    table.next_offset = offset + 1
+    table.log_time = max(table.log_time, time)
+    if table.trimmed:
+        table.trimmed = False
+        table.covered_from = time
+    return True
+
+
+def trim(table, first_offset):
+    """Note that records below the offset were dropped before they were read."""
+    if first_offset > table.next_offset:
+        table.next_offset = first_offset
+        table.covered_from = float("inf")
+        table.trimmed = True
+
+
+def apply_claim(table, claim, time):
+    """Apply a claim: the lowest offset owns a job. Return the jobs it names."""
+    void = _is_fenced(table, claim.owner, time)
+    for job, expires_at in claim.jobs:
+        if not void and job not in table.jobs:
+            table.jobs[job] = Ownership(claim.owner, time, expires_at)
+            table.owned.setdefault(claim.owner, set()).add(job)
+    return [job for job, _ in claim.jobs]
+
+
+def apply_fence(table, fence, time):
+    """Apply a fence where its owner still owns the job; return the jobs moved."""
+    if fence.by == fence.owner or _is_fenced(table, fence.by, time):
+        return []
+    owned = table.owned.get(fence.owner, set())
+    moved = [job for job in fence.jobs if job in owned]
+    if not fence.jobs:
+        moved = sorted(owned)
+        table.fenced.setdefault(fence.owner, time)
+    for job in moved:
+        _move(table, job, fence.by)
+    return moved
+
+
+def _is_fenced(table, owner, time):
+    """Return True when records of the owner are void.
+
+    Bounded by log time, not by what this entry remembers: entries that began to
+    read at different offsets must agree. A fenced owner reads its fence before a
+    later record of its own, so it acts on none of them.
+    """
+    fenced_at = table.fenced.get(owner)
+    return fenced_at is not None and time - fenced_at <= FENCED_OWNER_VOID_S
+
+
+def _move(table, job, owner):
+    ownership = table.jobs[job]
+    table.owned[ownership.owner].discard(job)
+    table.owned.setdefault(owner, set()).add(job)
+    ownership.formers.append(ownership.owner)
+    ownership.owner = owner
+
+
+def apply_roster(table, roster, time):
+    """Put agents on the roster, or refresh them."""
+    for agent in roster.agents:
+        table.roster[agent] = max(time, table.roster.get(agent, time))
+
+
+def agents_of_claim(table, job, roster_ttl_s):
+    """Return the agents on which an owner of the job can have started tasks.
+
+    Called when the fence is read, so the roster holds what lies below it. None
+    when records that may name such an agent were dropped unread.
+    """
+    oldest = table.jobs[job].claimed_at - roster_ttl_s
+    if table.covered_from > oldest:
+        return None
+    return {agent for agent, time in table.roster.items() if time >= oldest}
+
+
+def drop_expired(table, wall, keep_s):
+    """Forget claims past their expiry and what only they needed."""
+    gone = [
+        job
+        for job, ownership in table.jobs.items()
+        if wall > ownership.expires_at + EXPIRED_CLAIM_GRACE_S
+    ]
+    for job in gone:
+        owned = table.owned[table.jobs.pop(job).owner]
+        owned.discard(job)
+    for owner in [owner for owner, jobs in table.owned.items() if not jobs]:
+        del table.owned[owner]
+    oldest = table.log_time - keep_s
+    for agent in [agent for agent, time in table.roster.items() if time < oldest]:
+        del table.roster[agent]
+    for owner in [owner for owner, time in table.fenced.items() if time < oldest]:
+        del table.fenced[owner]
--- /dev/null
+++ b/turmericknot/dispatch/entry.py
@@ -0,0 +1,304 @@
+"""Decision logic of an entry: events in, commands out, no I/O."""
+
+import heapq
+
+from turmericknot.dispatch import (
+    agents,
+    answers,
+    appends,
+    cancellation,
+    claims,
+    events,
+    ownership,
+    peers,
+    scheduler as default_policy,
+    submissions,
+    takeover,
+)
+from turmericknot.dispatch.commands import Drained, Retire
+from turmericknot.dispatch.entry_state import EntryState, Phase, emit
+from turmericknot.dispatch.tasks import JobStatus, Reason
+
+HOUSEKEEPING_S = 1.0
+# A follower gives the owner this long past the deadline to say how the job ended.
+FOLLOW_GRACE_S = 0.5
+
+
+def home_of_all(state, incarnation):
+    """Treat every agent as at home here; membership replaces this function."""
+    return True
+
+
+def create_entry_state(
+    settings, address, rng, policy=default_policy, is_home=home_of_all
+):
+    """Create the state of one incarnation of an entry.
+
+    ``policy`` holds the functions listed in ``scheduler.py``.
+    """
+    scheduler = policy.create_scheduler(settings, rng)
+    state = EntryState(settings, address, rng, policy, scheduler, is_home)
+    state.tokens = settings.claims.append_budget_per_s
+    return state
+
+
+def handle(state, event, now, wall):
+    """Apply an event and return the commands that it leads to."""
+    state.now = now
+    state.wall = wall
+    HANDLERS[type(event)](state, event)
+    _run_timers(state)
+    agents.assign(state)
+    agents.send_demand(state)
+    appends.flush(state)
+    takeover.flush_fences(state)
+    _check_drained(state)
+    commands, state.commands = state.commands, []
+    return commands
+
+
+def next_wake(state, now):
+    """Return the monotonic time by which the next Tick is wanted, or None."""
+    times = [state.timers[0][0]] if state.timers else []
+    flush_at = appends.next_flush(state)
+    if flush_at is not None:
+        times.append(flush_at)
+    return max(now, min(times)) if times else None
+
+
+def status(state, now):
+    """Return figures of this entry for operators."""
+    return {
+        "incarnation": state.me,
+        "active_jobs": state.active,
+        "known_jobs": len(state.jobs),
+        "agents": len(state.agent_streams),
+        "peers": len(state.peer_streams),
+        "claims_known": len(state.table.jobs),
+        "log_readable": state.log_readable,
+        "log_age_s": now - state.current_as_of,
+        "clock_error_s": state.clock_error_s,
+        "draining": state.drain_until is not None,
+        "kept_bytes": state.kept_bytes,
+        "counters": dict(state.counters),
+        "scheduler": state.policy.status(state.scheduler, now),
+    }
+
+
+def _tick(state, event):
+    appends.tick(state)
+    answers.flush_acknowledgements(state)
+    peers.send_digest(state)
+    for job_id in state.policy.expired(state.scheduler, state.now):
+        job = state.jobs.get(job_id)
+        if job is not None and job.phase is Phase.RUNNING:
+            answers.end(state, job, JobStatus.FAILED, Reason.DEADLINE_EXCEEDED)
+    if state.now >= state.housekeeping_due:
+        state.housekeeping_due = state.now + HOUSEKEEPING_S
+        _housekeeping(state)
+
+
+def _housekeeping(state):
+    settings = state.settings.claims
+    keep_s = settings.max_key_lifetime_s + settings.roster_ttl_s
+    claims.drop_expired(state.table, state.wall, keep_s + settings.max_clock_skew_s)
+    answers.forget_expired(state)
+    takeover.forget_fences(state)
+    agents.forget_gone(state)
+    peers.forget_gone(state)
+    for agent in state.agent_streams.values():
+        agents.update_roster(state, agent)
+
+
+def _run_timers(state):
+    while state.timers and state.timers[0][0] <= state.now:
+        _, job_id = heapq.heappop(state.timers)
+        job = state.jobs.get(job_id)
+        if job is not None and job.phase is not Phase.ENDED:
+            _check_job(state, job)
+
+
+def _check_job(state, job):
+    waited = state.now - job.since + agents.TIMER_SLACK_S
+    timeout = TIMEOUTS.get(job.phase)
+    if timeout is not None:
+        setting, handler = timeout
+        if waited >= getattr(state.settings.claims, setting):
+            handler(state, job)
+    if job.phase in ownership.WORKING:
+        agents.check_lost(state, job)
+    if job.phase is not Phase.ENDED and state.now >= job.deadline:
+        _deadline_passed(state, job)
+
+
+def _refusing_timed_out(state, job):
+    if job.unanswered:
+        submissions.all_located(state, job)
+    else:
+        submissions.locate(state, job)
+
+
+def _following_timed_out(state, job):
+    if job.follow_stream is None:
+        ownership.unreachable(state, job)
+
+
+TIMEOUTS = {
+    Phase.CLAIMING: ("claim_timeout_s", submissions.claim_timed_out),
+    Phase.REFUSING: ("locate_timeout_s", _refusing_timed_out),
+    Phase.LOCATING: ("locate_timeout_s", submissions.all_located),
+    Phase.FOLLOWING: ("owner_timeout_s", _following_timed_out),
+    Phase.FENCING: ("inventory_timeout_s", takeover.timed_out),
+    Phase.INVENTORY: ("inventory_timeout_s", takeover.timed_out),
+    Phase.CANCELLING: ("inventory_timeout_s", cancellation.timed_out),
+}
+
+
+def _deadline_passed(state, job):
+    """End a job at its deadline; only its owner may say that it failed."""
+    if job.phase in (Phase.CLAIMING, Phase.RUNNING):
+        answers.end(state, job, JobStatus.FAILED, Reason.DEADLINE_EXCEEDED)
+    elif job.phase is Phase.FOLLOWING:
+        if state.now < job.deadline + FOLLOW_GRACE_S:
+            heapq.heappush(state.timers, (job.deadline + FOLLOW_GRACE_S, job.id))
+            return
+        job.final = False
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.OWNER_UNREACHABLE)
+    elif job.phase in (Phase.FENCING, Phase.INVENTORY, Phase.CANCELLING):
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.MAY_HAVE_STARTED)
+
+
+def _drain(state, event):
+    if state.drain_until is None:
+        state.drain_until = state.now + state.settings.drain_timeout_s
+
+
+def _check_drained(state):
+    """Fail what is left when the time to drain is over, then report."""
+    if state.drain_until is None or state.drained:
+        return
+    if state.now >= state.drain_until:
+        for job in list(state.jobs.values()):
+            if job.phase is not Phase.ENDED:
+                _end_drained(state, job)
+    if state.active == 0:
+        state.drained = True
+        emit(state, Retire("fenced") if state.retired else Drained())
+
+
+def _end_drained(state, job):
+    status_ = JobStatus.UNKNOWN
+    if job.phase in (Phase.CLAIMING, Phase.RUNNING):
+        status_ = JobStatus.FAILED
+    answers.end(state, job, status_, Reason.DRAINING)
+
+
+def _record_read(state, event):
+    table = state.table
+    if not claims.advance(table, event.offset, event.time):
+        return
+    record = claims.decode_record(event.data)
+    if record is None:
+        return
+    appends.record_read(state, record.record)
+    RECORDS[type(record)](state, record, event.time)
+
+
+def _claim_read(state, record, time):
+    for job_id in claims.apply_claim(state.table, record, time):
+        job = state.jobs.get(job_id)
+        if job is not None and job_id in state.table.jobs:
+            ownership.decided(state, job)
+
+
+def _fence_read(state, record, time):
+    for job_id in claims.apply_fence(state.table, record, time):
+        job = state.jobs.get(job_id)
+        if job is not None:
+            ownership.decided(state, job)
+    if record.owner == state.me and not record.jobs:
+        ownership.incarnation_fenced(state)
+
+
+def _presence_read(state, record, time):
+    peers.presence_read(state, record)
+
+
+def _roster_read(state, record, time):
+    claims.apply_roster(state.table, record, time)
+    agents.roster_read(state, record)
+
+
+RECORDS = {
+    claims.Claim: _claim_read,
+    claims.Fence: _fence_read,
+    claims.Presence: _presence_read,
+    claims.Roster: _roster_read,
+}
+
+
+def _caught_up(state, event):
+    state.log_readable = True
+    state.current_as_of = max(state.current_as_of, event.asked_at)
+    state.clock_error_s = state.wall - event.log_time
+    appends.read_back_done(state, event.asked_at)
+    for job in list(state.jobs.values()):
+        if job.phase is Phase.REFUSING and state.current_as_of >= job.arrived:
+            submissions.table_is_current(state, job)
+
+
+def _read_failed(state, event):
+    state.log_readable = False
+    for job in list(state.jobs.values()):
+        if job.phase is Phase.REFUSING and not job.unanswered:
+            submissions.locate(state, job)
+
+
+def _trimmed(state, event):
+    claims.trim(state.table, event.first_offset)
+    # A fence of this incarnation may have been among the records.
+    ownership.incarnation_fenced(state)
+
+
+def _config_changed(state, event):
+    state.configured = True
+    state.policy.config_changed(state.scheduler, event.version, event.tree, state.now)
+
+
+def _append_succeeded(state, event):
+    appends.append_succeeded(state, event)
+
+
+def _append_failed(state, event):
+    appends.append_failed(state, event)
+
+
+def _abandoned(state, event):
+    for job in state.jobs.values():
+        if event.request in job.requests:
+            job.requests.remove(event.request)
+            return
+
+
+HANDLERS = {
+    events.Tick: _tick,
+    events.JobSubmitted: submissions.submitted,
+    events.JobAwaited: submissions.awaited,
+    events.JobCancelled: cancellation.cancelled,
+    events.RequestAbandoned: _abandoned,
+    events.AgentConnected: agents.connected,
+    events.AgentMessage: agents.message,
+    events.AgentDisconnected: agents.disconnected,
+    events.PeerConnected: peers.connected,
+    events.PeerMessage: peers.message,
+    events.PeerDisconnected: peers.disconnected,
+    events.PeerUnreachable: peers.unreachable,
+    events.LogRecordRead: _record_read,
+    events.LogCaughtUp: _caught_up,
+    events.LogReadFailed: _read_failed,
+    events.LogTrimmed: _trimmed,
+    events.AppendSucceeded: _append_succeeded,
+    events.AppendFailed: _append_failed,
+    events.ConfigChanged: _config_changed,
+    events.DrainRequested: _drain,
+}
--- /dev/null
+++ b/turmericknot/dispatch/ownership.py
@@ -0,0 +1,184 @@
+"""What an entry does once it is known who owns a job."""
+
+from turmericknot.dispatch import answers, appends, cancellation, takeover
+from turmericknot.dispatch.commands import DialEntry, Retire
+from turmericknot.dispatch.entry_state import (
+    Phase,
+    count,
+    emit,
+    enter,
+    new_request,
+    send,
+)
+from turmericknot.dispatch.scheduler import Refusal
+from turmericknot.dispatch.tasks import JobStatus, Reason
+from turmericknot.wire.messages import AwaitJob
+
+WORKING = (Phase.RUNNING, Phase.INVENTORY, Phase.CANCELLING)
+
+
+def decided(state, job):
+    """Act on the owner that the claim table names."""
+    if job.phase is Phase.ENDED:
+        return
+    record = state.table.jobs[job.id]
+    if record.owner == state.me:
+        _own(state, job, record)
+    elif job.phase in WORKING:
+        if state.me in record.formers:
+            lost(state, job, record.owner)
+    elif job.phase is not Phase.FENCING or job.owner != record.owner:
+        follow(state, job, record.owner)
+
+
+def _own(state, job, record):
+    if job.phase in WORKING:
+        return
+    if job.spec is None:
+        job.final = False
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.NOT_FOUND)
+    elif record.formers:
+        takeover.won(state, job, record)
+    elif job.cancelled:
+        cancellation.end_cancelled(state, job)
+    elif state.now >= job.deadline:
+        answers.end(state, job, JobStatus.FAILED, Reason.DEADLINE_EXCEEDED)
+    else:
+        job.refusal = None
+        run(state, job, range(len(job.spec.tasks)))
+
+
+def run(state, job, indexes):
+    """Queue tasks that certainly have not started."""
+    enter(state, job, Phase.RUNNING)
+    state.policy.add_job(
+        state.scheduler, job.spec, list(indexes), job.deadline, job.claimed, state.now
+    )
+
+
+def run_unclaimed(state, job):
+    """Run an idempotent job that the log could not decide in time."""
+    if state.now >= job.deadline:
+        answers.end(state, job, JobStatus.FAILED, Reason.DEADLINE_EXCEEDED)
+        return
+    count(state, "unclaimed_runs")
+    job.claimed = False
+    run(state, job, range(len(job.spec.tasks)))
+
+
+def follow(state, job, owner):
+    """Wait for the answer of the entry that owns the job."""
+    if job.phase is Phase.FOLLOWING and job.owner == owner:
+        return
+    job.owner = owner
+    job.follow_stream = None
+    enter(state, job, Phase.FOLLOWING, state.settings.claims.owner_timeout_s)
+    peer = state.peers.get(owner)
+    if peer is None:
+        return
+    if peer.stream is not None:
+        _ask(state, job, peer.stream)
+    elif peer.refused:
+        unreachable(state, job, gone=True)
+    else:
+        emit(state, DialEntry(peer.address.entry_id, peer.address.link_address))
+
+
+def follow_stream(state, job, stream):
+    """Wait for the answer of a peer that runs the job unclaimed."""
+    follow(state, job, state.peer_streams[stream].address.incarnation)
+
+
+def _ask(state, job, stream):
+    request = new_request(state)
+    state.awaits[request] = job.id
+    job.follow_stream = stream
+    digest = job.spec.digest if job.spec is not None else b""
+    send(state, stream, AwaitJob(request, job.id, digest))
+    if job.cancelled:
+        cancellation.relay(state, job)
+
+
+def peer_reachable(state, peer):
+    """Ask a peer that has just been connected for the jobs it owns."""
+    for job in list(state.jobs.values()):
+        if job.phase is Phase.FOLLOWING and job.owner == peer.address.incarnation:
+            _ask(state, job, peer.stream)
+
+
+def peer_lost(state, peer):
+    """Give the peer ``owner_timeout`` to come back."""
+    for job in list(state.jobs.values()):
+        if job.phase is Phase.FOLLOWING and job.owner == peer.address.incarnation:
+            job.follow_stream = None
+            enter(state, job, Phase.FOLLOWING, state.settings.claims.owner_timeout_s)
+
+
+def peer_gone(state, peer):
+    """The peer's process does not run any more."""
+    for job in list(state.jobs.values()):
+        if job.phase is Phase.FOLLOWING and job.owner == peer.address.incarnation:
+            unreachable(state, job, gone=True)
+
+
+def unreachable(state, job, gone=False):
+    """The owner of a job cannot be asked: take the job over if that helps."""
+    record = state.table.jobs.get(job.id)
+    if job.spec is None or job.refusal is not None or job.cancelled:
+        _give_up(state, job)
+    elif record is None:
+        job.owner = ""
+        enter(state, job, Phase.CLAIMING, state.settings.claims.claim_timeout_s)
+        appends.queue_claim(state, job)
+    else:
+        takeover.begin(state, job, record.owner, gone)
+
+
+def _give_up(state, job):
+    reason = Reason.OWNER_UNREACHABLE
+    if job.refusal is not None and job.refusal.reason is Reason.OWNER_FENCED:
+        reason = Reason.OWNER_FENCED
+    job.final = False
+    answers.end(state, job, JobStatus.UNKNOWN, reason)
+
+
+def lost(state, job, owner):
+    """Another entry took the job over: send nothing more for it."""
+    count(state, "jobs_lost")
+    state.policy.remove_job(state.scheduler, job.id, state.now)
+    job.located.clear()
+    job.outcomes.clear()
+    job.recalling.clear()
+    job.refusal = Refusal(Reason.OWNER_FENCED, "another entry took the job over")
+    if job.requests or job.peer_requests:
+        follow(state, job, owner)
+    else:
+        _give_up(state, job)
+
+
+def answered(state, message, answer):
+    """Relay the owner's answer."""
+    job = state.jobs.get(state.awaits.pop(message.request, b""))
+    if job is None or job.id != message.job or answer.job != job.id:
+        return
+    if job.phase is not Phase.FOLLOWING:
+        return
+    if answer.reason is Reason.NOT_FOUND:
+        unreachable(state, job)
+        return
+    job.final = answer.reason not in (
+        Reason.OWNER_FENCED,
+        Reason.OWNER_UNREACHABLE,
+        Reason.KEY_CONFLICT,
+    )
+    answers.finish(state, job, answer)
+
+
+def incarnation_fenced(state):
+    """Every job of this incarnation was taken over: go on under a new one."""
+    if state.retired:
+        return
+    state.retired = True
+    state.drain_until = state.now + state.settings.claims.inventory_timeout_s
+    if not state.active:
+        emit(state, Retire("fenced"))
--- /dev/null
+++ b/turmericknot/dispatch/peers.py
@@ -0,0 +1,186 @@
+"""Other entries: presence, links, and questions about jobs."""
+
+import msgspec
+
+from turmericknot.dispatch import answers, cancellation, ownership, submissions
+from turmericknot.dispatch.commands import DialEntry
+from turmericknot.dispatch.entry_state import Peer, Phase, emit, send
+from turmericknot.dispatch.tasks import Answer, JobStatus, Reason
+from turmericknot.wire import messages
+from turmericknot.wire.messages import EntryAddress, JobLocation
+
+_answer_decoder = msgspec.msgpack.Decoder(Answer)
+
+# Phases in which this entry runs the job, or leads to the entry that does.
+KNOWN_PHASES = (
+    Phase.RUNNING,
+    Phase.CANCELLING,
+    Phase.INVENTORY,
+    Phase.FENCING,
+    Phase.FOLLOWING,
+    Phase.ENDED,
+)
+
+
+def presence_read(state, presence):
+    """Remember an entry, and dial it when its id is above this one's."""
+    if presence.incarnation == state.me:
+        return
+    address = EntryAddress(
+        presence.entry_id,
+        presence.incarnation,
+        presence.link_address,
+        presence.failure_domain,
+        presence.region,
+    )
+    peer = _remember(state, address)
+    if peer.stream is None and state.address.entry_id < presence.entry_id:
+        emit(state, DialEntry(presence.entry_id, presence.link_address))
+
+
+def _remember(state, address):
+    peer = state.peers.get(address.incarnation)
+    if peer is None:
+        peer = Peer(address)
+        state.peers[address.incarnation] = peer
+    peer.seen = max(peer.seen, state.wall)
+    return peer
+
+
+def connected(state, event):
+    """A link to a peer is open."""
+    address = event.hello.address
+    peer = _remember(state, address)
+    if peer.stream is not None:
+        _leave(state, peer)
+    peer.stream = event.stream
+    peer.refused = False
+    state.peer_streams[event.stream] = peer
+    _replace_older(state, address)
+    ownership.peer_reachable(state, peer)
+
+
+def _replace_older(state, address):
+    """A newer incarnation of an entry proves that the older ones are gone."""
+    for peer in list(state.peers.values()):
+        older = peer.address.incarnation != address.incarnation
+        if older and peer.address.entry_id == address.entry_id:
+            if peer.stream is not None:
+                _leave(state, peer)
+            peer.refused = True
+            ownership.peer_gone(state, peer)
+
+
+def disconnected(state, event):
+    """A link to a peer ended."""
+    peer = state.peer_streams.get(event.stream)
+    if peer is not None:
+        _leave(state, peer)
+        ownership.peer_lost(state, peer)
+
+
+def _leave(state, peer):
+    del state.peer_streams[peer.stream]
+    state.policy.peer_lost(state.scheduler, peer.address.entry_id, state.now)
+    peer.stream = None
+    peer.seen = state.wall
+
+
+def unreachable(state, event):
+    """Dialling an entry failed."""
+    for peer in list(state.peers.values()):
+        if peer.address.entry_id != event.entry_id or peer.stream is not None:
+            continue
+        if event.refused:
+            peer.refused = True
+            ownership.peer_gone(state, peer)
+
+
+def await_job(state, stream, message):
+    """Answer with the job's end as soon as there is one."""
+    job = _asked(state, stream, message)
+    if job is None:
+        return
+    if job.spec is not None and message.digest not in (b"", job.spec.digest):
+        answer = Answer(job.id, JobStatus.FAILED, Reason.KEY_CONFLICT)
+        answers.answer_peer(state, stream, message.request, job.id, answer)
+        return
+    _wait(state, stream, message, job)
+
+
+def _asked(state, stream, message):
+    """Return the job asked for, or answer that there is none here."""
+    job = state.jobs.get(message.job)
+    if job is None:
+        answer = Answer(message.job, JobStatus.UNKNOWN, Reason.NOT_FOUND)
+        answers.answer_peer(state, stream, message.request, message.job, answer)
+    return job
+
+
+def _wait(state, stream, message, job):
+    if job.phase is Phase.ENDED:
+        answers.answer_peer(state, stream, message.request, job.id, job.answer)
+    else:
+        job.peer_requests.append((stream, message.request))
+
+
+def cancel_job(state, stream, message):
+    """Cancel a job for a caller of another entry."""
+    job = _asked(state, stream, message)
+    if job is not None:
+        _wait(state, stream, message, job)
+        cancellation.cancel(state, job)
+
+
+def job_answer(state, stream, message):
+    """Relay the answer of the entry that owns a job."""
+    ownership.answered(state, message, _answer_decoder.decode(message.answer))
+
+
+def locate_job(state, stream, message):
+    """Tell whether this entry runs the job."""
+    job = state.jobs.get(message.job)
+    known = job is not None and job.phase in KNOWN_PHASES
+    send(state, stream, JobLocation(message.request, message.job, known))
+
+
+def digest(state, stream, message):
+    """Pass a peer's load on to the policy."""
+    peer = state.peer_streams[stream]
+    state.policy.peer_digest(state.scheduler, peer.address.entry_id, message, state.now)
+
+
+MESSAGES = {
+    messages.AwaitJob: await_job,
+    messages.JobAnswer: job_answer,
+    messages.LocateJob: locate_job,
+    messages.JobLocation: submissions.located,
+    messages.CancelJob: cancel_job,
+    messages.TeamDigest: digest,
+}
+
+
+def message(state, event):
+    """Handle a message on the open link of a peer."""
+    handler = MESSAGES.get(type(event.message))
+    if event.stream in state.peer_streams and handler is not None:
+        handler(state, event.stream, event.message)
+
+
+def send_digest(state):
+    """Tell every peer the load of the teams that changed."""
+    report = state.policy.digest(state.scheduler, state.now)
+    if report is not None:
+        for stream in state.peer_streams:
+            send(state, stream, report)
+
+
+def forget_gone(state):
+    """Forget incarnations too old to have run a job whose key is alive."""
+    claims = state.settings.claims
+    oldest = state.wall - claims.max_key_lifetime_s - 2 * claims.max_clock_skew_s
+    for peer in list(state.peers.values()):
+        if peer.stream is not None:
+            peer.seen = state.wall
+        elif peer.seen < oldest:
+            del state.peers[peer.address.incarnation]
--- /dev/null
+++ b/turmericknot/dispatch/submissions.py
@@ -0,0 +1,235 @@
+"""Arrival of a job: checks, refusals that contradict nobody, unclaimed runs."""
+
+from turmericknot.dispatch import answers, appends, cancellation, ownership
+from turmericknot.dispatch.claims import EXPIRED_CLAIM_GRACE_S
+from turmericknot.dispatch.entry_state import (
+    Job,
+    Phase,
+    count,
+    enter,
+    new_request,
+    send,
+    wake,
+)
+from turmericknot.dispatch.scheduler import Refusal
+from turmericknot.dispatch.tasks import JobStatus, Reason
+from turmericknot.wire.messages import LocateJob
+
+LOG_RETRY_AFTER_S = 1.0
+
+
+def submitted(state, event):
+    """Accept a submission, join the running job or answer from the kept one."""
+    spec = event.spec
+    job = state.jobs.get(spec.job)
+    if job is None:
+        _accept(state, _create_job(state, spec, event.request))
+        return
+    if job.spec is not None and job.spec.digest != spec.digest:
+        answers.refuse_request(
+            state, event.request, spec.job, JobStatus.FAILED, Reason.KEY_CONFLICT
+        )
+        return
+    join(state, job, event.request)
+    if job.spec is None and job.phase is not Phase.ENDED:
+        job.spec = spec
+
+
+def join(state, job, request):
+    """Add a waiting request, or answer it when the job has ended."""
+    if job.phase is Phase.ENDED:
+        answers.respond(state, job, request)
+    else:
+        job.requests.append(request)
+
+
+def awaited(state, event):
+    """Wait for a job that was submitted earlier, here or at another entry."""
+    job = state.jobs.get(event.job)
+    if job is None:
+        job = create_specless(state, event.job, event.expires_at)
+        job.requests.append(event.request)
+        refuse(state, job, Refusal(Reason.NOT_FOUND, "no such job is known"))
+        return
+    join(state, job, event.request)
+
+
+def create_specless(state, job_id, expires_at):
+    """Create a job that can only be followed: its tasks are not known here."""
+    wait_s = state.settings.claims.max_key_lifetime_s
+    job = Job(job_id, state.now, state.now + wait_s, expires_at)
+    _register(state, job)
+    return job
+
+
+def _create_job(state, spec, request):
+    claims = state.settings.claims
+    # A job ends before its key expires, so that no start lies behind the expiry.
+    key_s = spec.expires_at - claims.max_clock_skew_s - state.wall
+    deadline = state.now + min(spec.deadline_s, max(0.0, key_s))
+    job = Job(spec.job, state.now, deadline, spec.expires_at, spec)
+    job.requests.append(request)
+    _register(state, job)
+    return job
+
+
+def _register(state, job):
+    job.since = state.now
+    state.jobs[job.id] = job
+    state.active += 1
+    wake(state, job.deadline, job)
+
+
+def _accept(state, job):
+    refusal = _check(state, job.spec)
+    if refusal is not None:
+        refuse(state, job, refusal)
+        return
+    owner = state.table.jobs.get(job.id)
+    if owner is not None:
+        ownership.decided(state, job)
+        return
+    enter(state, job, Phase.CLAIMING, state.settings.claims.claim_timeout_s)
+    appends.queue_claim(state, job)
+
+
+def _check(state, spec):
+    """Return why the job cannot be accepted, or None."""
+    claims = state.settings.claims
+    if abs(state.clock_error_s) > claims.max_clock_skew_s:
+        return Refusal(Reason.CLOCK_SKEW, "this entry's clock is off")
+    if state.wall > spec.expires_at - claims.max_clock_skew_s:
+        return Refusal(Reason.KEY_EXPIRED, "the key has expired")
+    if spec.expires_at - state.wall > claims.max_key_lifetime_s:
+        return Refusal(Reason.KEY_TOO_LONG_LIVED, "expires_at is too far ahead")
+    if state.drain_until is not None or state.retired:
+        return Refusal(Reason.DRAINING, "this entry is stopping")
+    if not state.configured:
+        return Refusal(Reason.NO_CONFIGURATION, "no configuration is in force")
+    return state.policy.admit(state.scheduler, spec, state.now)
+
+
+def refuse(state, job, refusal):
+    """Refuse a job once it is certain that no other entry runs it."""
+    job.refusal = refusal
+    if job.id in state.table.jobs:
+        ownership.decided(state, job)
+        return
+    count(state, "refusals")
+    job.peers_complete = True
+    job.unanswered = set()
+    enter(state, job, Phase.REFUSING, state.settings.claims.claim_timeout_s)
+    if state.current_as_of >= job.arrived:
+        table_is_current(state, job)
+    elif state.log_readable:
+        appends.read_now(state)
+    else:
+        locate(state, job)
+
+
+def table_is_current(state, job):
+    """No claim of the job lay in the log when it arrived."""
+    if job.id in state.table.jobs:
+        ownership.decided(state, job)
+    elif _may_run_unclaimed(job):
+        if not job.unanswered:
+            locate(state, job)
+    elif _table_reaches_back(state, job):
+        conclude_refusal(state, job)
+    else:
+        _answer_unknown(state, job)
+
+
+def _may_run_unclaimed(job):
+    """Return True when the log cannot tell whether the job runs somewhere."""
+    return job.spec is None or job.spec.idempotent
+
+
+def _table_reaches_back(state, job):
+    """Return False when a claim of the job may have left the table."""
+    claims = state.settings.claims
+    if state.wall > job.expires_at + EXPIRED_CLAIM_GRACE_S - claims.max_clock_skew_s:
+        return False
+    first = job.expires_at - claims.max_key_lifetime_s - 2 * claims.max_clock_skew_s
+    return state.table.covered_from <= first
+
+
+def locate(state, job):
+    """Ask every known entry whether it runs the job."""
+    job.unanswered = set()
+    job.peers_complete = True
+    oldest = state.wall - state.settings.claims.max_key_lifetime_s
+    for peer in state.peers.values():
+        if peer.stream is not None:
+            request = new_request(state)
+            state.locates[request] = job.id
+            job.unanswered.add(request)
+            send(state, peer.stream, LocateJob(request, job.id))
+        elif peer.seen >= oldest:
+            # It may have started tasks of the job before it was lost.
+            job.peers_complete = False
+    phase = Phase.LOCATING if job.phase is Phase.LOCATING else Phase.REFUSING
+    enter(state, job, phase, state.settings.claims.locate_timeout_s)
+    if not job.unanswered:
+        all_located(state, job)
+
+
+def located(state, stream, message):
+    """A peer said whether it runs the job."""
+    job = state.jobs.get(state.locates.pop(message.request, b""))
+    if job is None or message.request not in job.unanswered:
+        return
+    job.unanswered.discard(message.request)
+    if job.phase not in (Phase.REFUSING, Phase.LOCATING):
+        return
+    if message.known:
+        ownership.follow_stream(state, job, stream)
+    elif not job.unanswered:
+        all_located(state, job)
+
+
+def all_located(state, job):
+    """Every peer that could be asked has answered, or the time is over."""
+    answered = job.peers_complete and not job.unanswered
+    job.unanswered = set()
+    if job.phase is Phase.LOCATING:
+        ownership.run_unclaimed(state, job)
+    elif answered:
+        conclude_refusal(state, job)
+    else:
+        _answer_unknown(state, job)
+
+
+def conclude_refusal(state, job):
+    """Answer the refusal; it is final only when a claim may be in the log."""
+    refusal = job.refusal
+    status = JobStatus.NOT_RUN
+    if refusal.reason is Reason.NOT_FOUND:
+        status = JobStatus.UNKNOWN
+    job.final = bool(job.claim_record) and job.spec is not None
+    answers.end(
+        state, job, status, refusal.reason, refusal.detail, refusal.retry_after_s
+    )
+
+
+def _answer_unknown(state, job):
+    """Another entry may run the job, and nobody can say."""
+    reason = Reason.LOG_UNAVAILABLE
+    if job.refusal.reason in (Reason.KEY_EXPIRED, Reason.NOT_FOUND):
+        reason = job.refusal.reason
+    job.final = bool(job.claim_record) and job.spec is not None
+    answers.end(state, job, JobStatus.UNKNOWN, reason, job.refusal.detail)
+
+
+def claim_timed_out(state, job):
+    """The log did not decide the claim in time."""
+    if job.cancelled:
+        cancellation.refuse_cancelled(state, job)
+    elif job.spec.idempotent:
+        enter(state, job, Phase.LOCATING)
+        locate(state, job)
+    else:
+        refusal = Refusal(
+            Reason.LOG_UNAVAILABLE, "the claim was not decided", LOG_RETRY_AFTER_S
+        )
+        refuse(state, job, refusal)
--- /dev/null
+++ b/turmericknot/dispatch/takeover.py
@@ -0,0 +1,137 @@
+"""Takeover of a job from an entry that cannot be reached."""
+
+from collections import deque
+
+from turmericknot.dispatch import answers, appends, cancellation, ownership
+from turmericknot.dispatch.claims import EXPIRED_CLAIM_GRACE_S, agents_of_claim
+from turmericknot.dispatch.entry_state import (
+    IssuedFence,
+    Phase,
+    count,
+    enter,
+    send,
+)
+from turmericknot.dispatch.tasks import JobStatus, Reason
+from turmericknot.wire.messages import Fence
+
+
+def begin(state, job, owner, gone):
+    """Fence the owner: for this job alone unless its process is gone."""
+    count(state, "takeovers")
+    job.owner = owner
+    enter(state, job, Phase.FENCING, state.settings.claims.inventory_timeout_s)
+    appends.queue_fence(state, owner, [] if gone else [job.id])
+
+
+def won(state, job, record):
+    """The log names this entry: learn from the agents what has started."""
+    job.formers = [former for former in record.formers if former != state.me]
+    enter(state, job, Phase.INVENTORY, state.settings.claims.inventory_timeout_s)
+    agents = agents_of_claim(state.table, job.id, state.settings.claims.roster_ttl_s)
+    job.provable = agents is not None and state.me not in record.formers
+    job.missing = {(agent, former) for agent in agents or () for former in job.formers}
+    until = job.expires_at + EXPIRED_CLAIM_GRACE_S
+    # The oldest owner first: an agent that has yet to hear of an earlier takeover
+    # must not move tasks between two of the inventories.
+    for former in job.formers:
+        state.new_fences.append(IssuedFence(former, [job.id], until))
+    _resolve(state, job)
+
+
+def flush_fences(state):
+    """Send the fences of this event, one message per former owner and agent."""
+    merged = {}
+    for fence in state.new_fences:
+        known = merged.setdefault(fence.owner, IssuedFence(fence.owner, [], 0.0))
+        known.jobs.extend(fence.jobs)
+        known.until = max(known.until, fence.until)
+    state.new_fences.clear()
+    state.fences.extend(merged.values())
+    for agent in state.agent_streams.values():
+        for fence in merged.values():
+            _send_fence(state, agent, fence)
+
+
+def resend_fences(state, agent):
+    """Tell an agent that has just connected what it may have missed."""
+    for fence in state.fences:
+        _send_fence(state, agent, fence)
+
+
+def _send_fence(state, agent, fence):
+    replies = agent.fence_replies.setdefault(fence.owner, deque())
+    replies.append(fence.jobs)
+    send(state, agent.stream, Fence(fence.owner, state.me, fence.jobs))
+
+
+def forget_fences(state):
+    """Drop fences whose keys have expired."""
+    state.fences = [fence for fence in state.fences if fence.until > state.wall]
+
+
+def inventory(state, agent, message):
+    """Take an agent's answer to the oldest unanswered fence of that owner."""
+    replies = agent.fence_replies.get(message.owner)
+    if not replies:
+        return
+    listed = {entry.job: entry for entry in message.jobs}
+    for job_id in replies.popleft():
+        job = state.jobs.get(job_id)
+        if job is None or message.owner not in job.formers:
+            continue
+        if job_id in listed:
+            _take(state, job, agent, listed[job_id])
+        job.missing.discard((agent.incarnation, message.owner))
+        _resolve(state, job)
+
+
+def _take(state, job, agent, entry):
+    """Adopt what one agent says about the tasks of a job."""
+    if job.phase is not Phase.INVENTORY:
+        return
+    job.may_have_started = True
+    for index in entry.running:
+        adopt(job, agent, index)
+    for result in entry.results:
+        job.reported_by.add(agent.incarnation)
+        answers.task_ended(state, job, result)
+    if entry.forgotten and job.phase is Phase.INVENTORY:
+        _unknown(state, job, "a result was dropped before the takeover")
+
+
+def adopt(job, agent, index):
+    """Note that an agent runs a task."""
+    if index not in job.outcomes:
+        job.located[index] = agent.incarnation
+        agent.sent.setdefault(job.id, set()).add(index)
+
+
+def _unresolved(job):
+    total = range(len(job.spec.tasks))
+    return [i for i in total if i not in job.outcomes and i not in job.located]
+
+
+def _resolve(state, job):
+    """Go on once nothing is open: start only what provably did not start."""
+    if job.phase is not Phase.INVENTORY:
+        return
+    unresolved = _unresolved(job)
+    if unresolved and (job.missing or not job.provable):
+        return
+    if job.cancelled:
+        cancellation.start(state, job)
+    else:
+        ownership.run(state, job, unresolved)
+
+
+def timed_out(state, job):
+    """Some agent did not answer: what it may have started is unknown."""
+    if job.phase is Phase.FENCING:
+        job.final = False
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.OWNER_UNREACHABLE)
+    else:
+        _unknown(state, job, f"{len(job.missing)} inventories are missing")
+
+
+def _unknown(state, job, detail):
+    answers.end(state, job, JobStatus.UNKNOWN, Reason.MAY_HAVE_STARTED, detail)
--- a/turmericknot/dispatch/tasks.py
+++ b/turmericknot/dispatch/tasks.py
@@ -41,6 +41,7 @@
     MAY_HAVE_STARTED = "may_have_started"
     WORKER_LOST = "worker_lost"
     OWNER_UNREACHABLE = "owner_unreachable"
+    ANSWER_DROPPED = "answer_dropped"
     # refused without a job
     KEY_CONFLICT = "key_conflict"
     NOT_FOUND = "not_found"
--- a/turmericknot/wire/messages.py
+++ b/turmericknot/wire/messages.py
@@ -232,10 +232,14 @@
 
 
 class AwaitJob(Message, tag=41):
-    """Ask the owner of a job for its answer when there is one."""
+    """Ask the owner of a job for its answer when there is one.
+
+    ``digest`` is that of the body submitted to the sender; empty when unknown.
+    """
 
     request: int
     job: bytes
+    digest: bytes = b""
 
 
 class JobAnswer(Message, tag=42):
