Add the scheduling policy of the entry

Cause: job ownership needs the scheduler behind the listed interface. Change: queues per team, priority and shape with FIFO inside; starts only in granted window slots; start-time fair queueing between teams; learned estimates; admission by predicted completion; pools of free agents by failure domain; quarantine, retry budget, digests of team usage.

--- /dev/null
+++ b/tests/dispatch/test_scheduler.py
@@ -0,0 +1,106 @@
+from turmericknot.dispatch import scheduler
+from turmericknot.wire.messages import Window
+
+
+def test_starts_only_in_granted_slots(create_site):
+    """Guards against an entry that overruns the window of an agent."""
+    site = create_site(agents=2, slots=2)
+    job = site.add(5)
+    started = site.start()
+    assert sorted(index for _, _, index in started) == [0, 1, 2, 3]
+    assert site.start() == []
+    scheduler.set_window(site.state, 0, Window(0, 2), 0.0)
+    on_first, on_second = sorted(started)[0], sorted(started)[-1]
+    site.finish(on_first)
+    assert site.start() == []
+    site.finish(on_second)
+    assert site.start() == [(1, job, 4)]
+
+
+def test_first_in_first_out_and_returned_tasks_first(create_site):
+    """Guards against returned tasks that wait behind later jobs."""
+    site = create_site(agents=1, slots=1)
+    first, second = site.add(2), site.add(1)
+    (task,) = site.start()
+    assert task[1:] == (first, 0)
+    site.state.teams["red"].retry_tokens = 1
+    scheduler.tasks_returned(site.state, 0, first, [0], 0.0)
+    for expected in ((first, 0), (first, 1), (second, 0)):
+        (task,) = site.start()
+        assert task[1:] == expected
+        site.finish(task)
+    assert not site.state.jobs and not site.state.agents[0].tasks
+
+
+def test_claimed_work_goes_to_rostered_agents_only(create_site):
+    """Guards against a start that a takeover would not know of."""
+    site = create_site(agents=2, slots=1)
+    scheduler.set_rostered(site.state, 0, False, 0.0)
+    job = site.add(2, claimed=True)
+    assert [stream for stream, _, _ in site.start()] == [1]
+    scheduler.set_rostered(site.state, 0, True, 0.0)
+    assert site.start() == [(0, job, 1)]
+
+
+def test_no_work_for_draining_and_suspect_agents(create_site):
+    site = create_site(agents=3, slots=1)
+    scheduler.agent_draining(site.state, 0, 0.0)
+    scheduler.set_suspect(site.state, 1, True, 0.0)
+    site.add(3)
+    assert [stream for stream, _, _ in site.start()] == [2]
+    scheduler.set_suspect(site.state, 1, False, 0.0)
+    assert [stream for stream, _, _ in site.start()] == [1]
+
+
+def test_lost_agent_frees_the_team(create_site):
+    """Guards against tasks of a dead agent that count as running for ever."""
+    site = create_site(agents=2, slots=2)
+    job = site.add(4)
+    site.start()
+    scheduler.agent_left(site.state, 0, 0.0)
+    assert site.state.teams["red"].running_tasks == 2
+    assert scheduler.remove_job(site.state, job, 0.0) == []
+    for stream, name, index in [(1, job, i) for i in range(4)]:
+        site.finish((stream, name, index))
+    assert site.state.teams["red"].running_tasks == 0
+    assert not site.state.jobs
+
+
+def test_removed_job_returns_its_queued_tasks(create_site):
+    site = create_site(agents=1, slots=2)
+    job = site.add(5)
+    started = site.start()
+    assert scheduler.remove_job(site.state, job, 0.0) == [2, 3, 4]
+    scheduler.tasks_returned(site.state, 0, job, [started[0][2]], 0.0)
+    assert site.start() == [] and site.state.waiting == 0
+
+
+def test_demand_is_sent_alone_only_at_transitions(create_site):
+    """Guards against messages that tell agents what they know."""
+    site = create_site(agents=2, slots=2)
+    for stream in range(2):
+        scheduler.set_window(site.state, stream, Window(1, 2), 0.0)
+    job = site.add(4)
+    started = site.start()
+    sent = scheduler.demand(site.state, 0.0)
+    assert [(stream, message.waiting) for stream, message in sent] == [(0, 2), (1, 2)]
+    assert scheduler.demand(site.state, 0.0) == []
+    assert scheduler.waiting(site.state, 0)[0] == 2
+    scheduler.remove_job(site.state, job, 0.0)
+    assert scheduler.demand(site.state, 1.0) == []
+    sent = scheduler.demand(site.state, 1.1)
+    assert [message.waiting for _, message in sent] == [0, 0]
+    assert len(started) == 2
+
+
+def test_expired_job_starts_nothing_more(create_site):
+    """Guards against capacity spent on a job that will fail anyway."""
+    site = create_site(agents=1, slots=1)
+    job = site.add(3, deadline_s=1.0)
+    site.start()
+    assert scheduler.expired(site.state, 0.9) == []
+    assert scheduler.expired(site.state, 1.0) == [job]
+    assert scheduler.expired(site.state, 1.1) == []
+    site.finish((0, job, 0))
+    assert site.start() == []
+    assert scheduler.remove_job(site.state, job, 1.2) == [1, 2]
--- /dev/null
+++ b/turmericknot/dispatch/placement.py
@@ -0,0 +1,307 @@
+"""Agents as the scheduling policy sees them, and the choice among them.
+
+Agents with a free slot are kept in one pool per failure domain and roster state,
+so that choosing one does not depend on the number of agents.
+"""
+
+from dataclasses import dataclass
+
+from .quarantine import Health
+from .teams import UNLIMITED
+
+FIT_TRIES = 8  # random picks before a bounded scan for an agent that fits
+FIT_SCAN = 32  # agents looked at in the scan; the next round starts elsewhere
+SLOWNESS_STEP = 0.05  # weight of the newest run-time ratio
+MAX_RATIO = 20.0  # one very slow task must not mark a worker for long
+DOMAIN_SLACK = 1e-9
+
+
+@dataclass(slots=True)
+class Assignment:
+    """Tasks of one job that go to one agent in one message."""
+
+    stream: int
+    job: bytes
+    indexes: list[int]
+    window_sequence: int
+
+
+class Agent:
+    """One agent and its worker."""
+
+    __slots__ = (
+        "stream",
+        "hello",
+        "domain",
+        "region",
+        "slots",
+        "processors",
+        "memory_mb",
+        "accelerators",
+        "window",
+        "window_sequence",
+        "running",
+        "rostered",
+        "suspect",
+        "draining",
+        "quarantined",
+        "usable",
+        "open",
+        "counted",
+        "pool",
+        "position",
+        "tasks",
+        "slowness",
+        "health",
+        "told_waiting",
+    )
+
+    def __init__(self, stream, hello, domain):
+        self.stream = stream
+        self.hello = hello
+        self.domain = domain
+        self.region = hello.region
+        self.slots = hello.slots
+        self.processors = hello.processors  # what the tasks of this entry leave
+        self.memory_mb = hello.memory_mb
+        self.accelerators = hello.accelerators
+        self.window = 0
+        self.window_sequence = 0
+        self.running = 0
+        self.rostered = False
+        self.suspect = False
+        self.draining = hello.draining
+        self.quarantined = False
+        self.usable = not self.draining
+        self.open = False  # takes new work, and counts in the domain's totals
+        self.counted = 0  # the window as it is counted there
+        self.pool = None
+        self.position = -1
+        self.tasks = {}  # (job, index) -> Started
+        self.slowness = 1.0  # run time over the estimate, smoothed
+        self.health = Health()
+        self.told_waiting = False
+
+
+class Domain:
+    """Agents with free slots in one failure domain."""
+
+    __slots__ = ("name", "rostered", "others", "window", "running")
+
+    def __init__(self, name):
+        self.name = name
+        self.rostered = []
+        self.others = []  # not on the roster: only unclaimed work may go there
+        self.window = 0  # slots granted by usable agents
+        self.running = 0  # tasks on those agents
+
+
+class Placement:
+    """Pools of agents by failure domain."""
+
+    __slots__ = ("own_domain", "domains", "windowed", "pick", "rng", "pooled")
+
+    def __init__(self, own_domain, policy, rng):
+        self.own_domain = own_domain
+        self.domains = {}
+        self.pick, self.windowed = POLICIES[policy]
+        self.rng = rng
+        self.pooled = 0  # agents in pools
+
+
+def domain_of(state, name):
+    """Return a failure domain, creating it when it is new."""
+    domain = state.domains.get(name)
+    if domain is None:
+        domain = state.domains[name] = Domain(name)
+    return domain
+
+
+def refresh(state, agent):
+    """Bring the pools in line with an agent whose state changed."""
+    agent.usable = not (agent.draining or agent.suspect)
+    _count_out(agent)
+    agent.open = agent.usable and not agent.quarantined
+    if agent.open:
+        agent.counted = agent.window
+        agent.domain.window += agent.window
+        agent.domain.running += agent.running
+    wanted = None
+    domain = agent.domain
+    if agent.open and (agent.running < agent.window or not state.windowed):
+        wanted = domain.rostered if agent.rostered else domain.others
+    if wanted is not agent.pool:
+        _leave_pool(state, agent)
+        if wanted is not None:
+            agent.pool = wanted
+            agent.position = len(wanted)
+            wanted.append(agent)
+            state.pooled += 1
+
+
+def remove(state, agent):
+    """Take an agent out of all pools."""
+    _leave_pool(state, agent)
+    _count_out(agent)
+
+
+def _count_out(agent):
+    if agent.open:
+        agent.domain.window -= agent.counted
+        agent.domain.running -= agent.running
+    agent.open = False
+    agent.counted = 0
+
+
+def _leave_pool(state, agent):
+    pool = agent.pool
+    if pool is None:
+        return
+    last = pool.pop()
+    if last is not agent:
+        pool[agent.position] = last
+        last.position = agent.position
+    agent.pool = None
+    state.pooled -= 1
+
+
+def started(state, agent, shape, count):
+    """Take slots and resources of an agent."""
+    agent.running += count
+    if agent.open:
+        agent.domain.running += count
+    if not shape.plain:
+        _use(agent, shape, count)
+    if agent.running >= agent.window and state.windowed:
+        _leave_pool(state, agent)
+
+
+def ended(state, agent, shape):
+    """Return the slot and the resources of one task."""
+    agent.running -= 1
+    if agent.open:
+        agent.domain.running -= 1
+    if not shape.plain:
+        _use(agent, shape, -1)
+    if agent.pool is None:
+        refresh(state, agent)
+
+
+def _use(agent, shape, count):
+    agent.processors -= shape.processors * count
+    agent.memory_mb -= shape.memory_mb * count
+    agent.accelerators -= shape.accelerators * count
+
+
+def observe_run(agent, run_ms, estimate_ms):
+    """Compare a run time with what the task takes on other workers."""
+    ratio = min(MAX_RATIO, run_ms / estimate_ms)
+    agent.slowness += SLOWNESS_STEP * (ratio - agent.slowness)
+
+
+def capacity(agent, shape):
+    """Return how many tasks of a shape fit into an agent's free resources."""
+    count = UNLIMITED
+    if shape.processors:
+        count = min(count, int(agent.processors / shape.processors + 1e-9))
+    if shape.memory_mb:
+        count = min(count, agent.memory_mb // shape.memory_mb)
+    if shape.accelerators:
+        count = min(count, agent.accelerators // shape.accelerators)
+    return count
+
+
+def choose_pool(state, claimed):
+    """Return the pool to place in: the own failure domain unless it is fuller."""
+    best = None
+    best_share = -1.0
+    for domain in state.domains.values():
+        pool = domain.rostered
+        if not pool and not claimed:
+            pool = domain.others
+        if not pool:
+            continue
+        share = (domain.window - domain.running) / max(1, domain.window)
+        if domain.name == state.own_domain:
+            share += DOMAIN_SLACK
+        if share > best_share:
+            best, best_share = pool, share
+    return best
+
+
+def place(state, shape, claimed, count):
+    """Return one agent and how many of ``count`` tasks it takes, or None."""
+    pool = choose_pool(state, claimed)
+    if pool is None:
+        return None
+    agent = state.pick(state, pool, shape)
+    if agent is None:
+        return None
+    # A large batch is spread evenly over the agents that are free.
+    count = 1 + (count - 1) // state.pooled if state.windowed else 1
+    if state.windowed:
+        count = min(count, agent.window - agent.running)
+    if not shape.plain:
+        count = min(count, capacity(agent, shape))
+    return agent, count
+
+
+def _load(agent):
+    return (agent.running + 1) * agent.slowness
+
+
+def _pick_two_choices(state, pool, shape):
+    """Return the less loaded of two random agents of the pool."""
+    if not shape.plain:
+        return _pick_fitting(state, pool, shape)
+    random = state.rng.random
+    size = len(pool)
+    first = pool[int(random() * size)]
+    if size == 1:
+        return first
+    second = pool[int(random() * size)]
+    if _load(second) < _load(first):
+        return second
+    return first
+
+
+def _pick_fitting(state, pool, shape):
+    """Return an agent of the pool with enough free resources, or None."""
+    random = state.rng.random
+    size = len(pool)
+    best = None
+    for _ in range(min(FIT_TRIES, 2 * size)):
+        agent = pool[int(random() * size)]
+        if capacity(agent, shape) < 1:
+            continue
+        if best is not None:
+            return agent if _load(agent) < _load(best) else best
+        best = agent
+    if best is not None:
+        return best
+    start = int(random() * size)
+    for offset in range(min(size, FIT_SCAN)):
+        agent = pool[(start + offset) % size]
+        if capacity(agent, shape) >= 1:
+            return agent
+    return None
+
+
+def _pick_random(state, pool, shape):
+    """Return any agent: early placement without load (baseline)."""
+    agent = pool[int(state.rng.random() * len(pool))]
+    return agent if shape.plain or capacity(agent, shape) >= 1 else None
+
+
+def _pick_least_outstanding(state, pool, shape):
+    """Return the agent with the fewest tasks of this entry (baseline)."""
+    fitting = (a for a in pool if shape.plain or capacity(a, shape) >= 1)
+    return min(fitting, key=lambda agent: agent.running, default=None)
+
+
+# Name -> (choice of an agent, whether windows bound the tasks sent to it).
+POLICIES = {
+    "windows": (_pick_two_choices, True),
+    "random": (_pick_random, False),
+    "least_outstanding": (_pick_least_outstanding, False),
+}
--- /dev/null
+++ b/turmericknot/dispatch/starts.py
@@ -0,0 +1,191 @@
+"""Choose what starts next: team by fair share, queue, job, then agents."""
+
+from . import estimates, fairshare, placement, quarantine, queues, retries, teams
+
+# Why a team with waiting work could start nothing; it is tried again when that
+# may have changed, and at the latest with the next periodic step.
+CAPPED = "capped"
+NO_FIT = "no_fit"
+LONG = "long"
+
+
+class Batch:
+    """Tasks of one job that were sent to one agent together."""
+
+    __slots__ = ("team", "shape", "cost", "estimate_ms", "started_at", "long", "live")
+
+    def __init__(self, team, shape, started_at, long, live):
+        self.team = team
+        self.shape = shape
+        self.cost = shape.cost
+        self.estimate_ms = shape.estimator.mean
+        self.started_at = started_at
+        self.long = long
+        self.live = live
+
+
+def next_assignments(state, now):
+    """Start all that may start now; return a list of Assignment."""
+    assigned = {}
+    _probe(state, assigned, now)
+    fair = state.fair
+    while state.placement.pooled:
+        team = fairshare.pop(fair, now)
+        if team is None:
+            break
+        blocked = _start_from(state, team, assigned, now)
+        if blocked:
+            state.parked.setdefault(blocked, set()).add(team)
+        elif team.waiting:
+            fairshare.push(fair, team)
+    return list(assigned.values())
+
+
+def unpark(state, reason):
+    """Try the teams again that were set aside for this reason."""
+    for team in state.parked.pop(reason, ()):
+        if team.waiting:
+            fairshare.push(state.fair, team)
+
+
+def _start_from(state, team, assigned, now):
+    """Start tasks of the team's first job that may run; return why none could."""
+    blocked = CAPPED
+    for queue in queues.in_order(team):
+        shape = queue.shape
+        state.update_cost(shape)
+        long = state.is_long(shape.estimator)
+        allowed = teams.room(team, shape)
+        if allowed > 0 and long:
+            allowed = min(allowed, state.long_room(now))
+            blocked = LONG if allowed <= 0 else blocked
+        if allowed <= 0:
+            continue
+        allowed = min(allowed, fairshare.quantum(state.fair, team, shape.cost))
+        if _start_lot(state, team, queue, long, allowed, assigned, now):
+            return None
+        blocked = NO_FIT
+    return blocked
+
+
+def _start_lot(state, team, queue, long, allowed, assigned, now):
+    """Place up to ``allowed`` tasks of a queue's first lot; return their number."""
+    lot = queue.lots[0]
+    left = min(allowed, len(lot.indexes))
+    total = 0
+    while left > 0:
+        chosen = placement.place(state.placement, queue.shape, queue.claimed, left)
+        if chosen is None:
+            break
+        agent, count = chosen
+        _start(state, team, queue, lot, long, agent, count, assigned, now)
+        left -= count
+        total += count
+    return total
+
+
+def _start(state, team, queue, lot, long, agent, count, assigned, now):
+    """Send ``count`` tasks of a lot to an agent."""
+    job = lot.job
+    shape = queue.shape
+    indexes = queues.take(team, queue, lot, count)
+    state.waiting -= count
+    _account(state, team, agent, shape, count, now)
+    batch = Batch(team, shape, now, long, count)
+    if long:
+        state.long_running += count
+    else:
+        state.watched.append(batch)
+    identifier = job.spec.job
+    tasks = agent.tasks
+    for index in indexes:
+        tasks[identifier, index] = batch
+    job.started.update(indexes)
+    place = (agent.stream, identifier)
+    known = assigned.get(place)
+    if known is None:
+        assigned[place] = placement.Assignment(
+            agent.stream, identifier, indexes, agent.window_sequence
+        )
+    else:
+        known.indexes.extend(indexes)
+
+
+def _account(state, team, agent, shape, count, now):
+    fair = state.fair
+    if team.virtual_time > fair.virtual_time:
+        fair.virtual_time = team.virtual_time
+    fairshare.settle(team, now)
+    teams.started(team, shape, shape.estimator.mean, count)
+    retries.started(team, count)
+    placement.started(state.placement, agent, shape, count)
+
+
+def _probe(state, assigned, now):
+    """Send one idempotent task to a quarantined worker whose probe is due."""
+    if not state.quarantine.held or not state.waiting:
+        return
+    agent = quarantine.probe_due(state.quarantine, now)
+    if agent is None or agent.running or agent.window < 1:
+        return
+    team = fairshare.pop(state.fair, now)
+    if team is None:
+        return
+    fairshare.push(state.fair, team)
+    for queue in queues.in_order(team):
+        state.update_cost(queue.shape)
+        if _may_probe(state, team, queue, agent):
+            long = state.is_long(queue.shape.estimator)
+            agent.health.probing = True
+            lot = queue.lots[0]
+            _start(state, team, queue, lot, long, agent, 1, assigned, now)
+            return
+
+
+def _may_probe(state, team, queue, agent):
+    if not queue.idempotent or (queue.claimed and not agent.rostered):
+        return False
+    if teams.room(team, queue.shape) < 1:
+        return False
+    return queue.shape.plain or placement.capacity(agent, queue.shape) >= 1
+
+
+def end(state, agent, identifier, index, now):
+    """Take a task off an agent; return its Batch, None when it was not there."""
+    batch = agent.tasks.pop((identifier, index), None)
+    if batch is None:
+        return None
+    team = batch.team
+    fairshare.settle(team, now)
+    teams.ended(team, batch.shape, batch.cost, batch.estimate_ms)
+    placement.ended(state.placement, agent, batch.shape)
+    batch.live -= 1
+    if batch.long:
+        state.long_running -= 1
+        if LONG in state.parked:
+            unpark(state, LONG)
+    if not batch.shape.plain and NO_FIT in state.parked:
+        unpark(state, NO_FIT)
+    if team.waiting:
+        fairshare.push(state.fair, team)
+    return batch
+
+
+def watch_long(state, now):
+    """Count tasks as long that have run for longer than short work takes."""
+    limit_s = state.policy.long_factor * state.median.value / 1e3
+    watched = state.watched
+    while watched and now - watched[0].started_at > limit_s:
+        batch = watched.popleft()
+        if batch.live > 0:
+            batch.long = True
+            state.long_running += batch.live
+
+
+def observe(state, agent, batch, run_ms):
+    """Learn from the run time of a finished task."""
+    estimator = batch.shape.estimator
+    if estimator.count >= estimates.TRUSTED_SAMPLES:
+        placement.observe_run(agent, run_ms, estimator.mean)
+    estimates.observe(estimator, run_ms)
+    estimates.observe_median(state.median, run_ms)
