--- a/turmericknot/core/dispatcher.py
+++ b/turmericknot/core/dispatcher.py
@@ -1,5 +1,6 @@
 """The actor that owns a decision state and executes the commands it returns."""
 
+import math
 import threading
 import time
 from collections import deque
@@ -16,7 +17,11 @@
 # The inbox is handled in parts, so that questions of status pages get a turn.
 BATCH_EVENTS = 1000
 
+# Shortest time between two ticks.
+MIN_TICK_S = 0.001
+
 _WAKE = object()
+_TICK = Tick()
 
 
 class DispatcherActor(pykka.ThreadingActor):
@@ -56,10 +61,14 @@
         "_ticker",
         "_stopping",
         "_ticked_at",
+        "_tick_pending",
+        "_next_wake",
+        "_wake_at",
+        "_rearm",
         "_events",
     )
 
-    def __init__(self, handle, executors, flush, lifecycle, tick_interval_s):
+    def __init__(self, handle, executors, flush, lifecycle, tick_interval_s, next_wake):
         self._handle = handle
         self._executors = executors
         self._flush = flush
@@ -71,6 +80,10 @@
         self._ticker = None
         self._stopping = threading.Event()
         self._ticked_at = time.monotonic()
+        self._tick_pending = False
+        self._next_wake = next_wake
+        self._wake_at = math.inf
+        self._rearm = threading.Event()
         self._events = 0
 
     @property
@@ -89,10 +102,13 @@
         self._actor = DispatcherActor.start(self)
         self._ticker = threading.Thread(target=self._tick, name="ticker", daemon=True)
         self._ticker.start()
+        if self._inbox:
+            self._wake()
 
     def stop(self):
         """Handle what is waiting, then stop the actor."""
         self._stopping.set()
+        self._rearm.set()
         if self._ticker is not None:
             self._ticker.join()
         if self._actor is not None and self._actor.is_alive():
@@ -123,20 +139,33 @@
             pass  # the process is stopping
 
     def _tick(self):
-        tick = Tick()
-        while not self._stopping.wait(self._tick_interval_s):
+        """Send ticks at the interval, and earlier when the state asks for it."""
+        ticked_at = time.monotonic()
+        while not self._stopping.is_set():
+            interval_end = ticked_at + self._tick_interval_s
+            due = min(interval_end, max(self._wake_at, ticked_at + MIN_TICK_S))
+            wait_s = due - time.monotonic()
+            if wait_s > 0:
+                if self._rearm.wait(wait_s):
+                    self._rearm.clear()
+                continue
+            ticked_at = time.monotonic()
             # A paused or overloaded process must not pile up ticks.
-            if tick not in self._inbox:
-                self.post(tick)
+            if not self._tick_pending:
+                self._tick_pending = True
+                self.post(_TICK)
 
 
-def create_dispatcher(handle, executors, flush, lifecycle, tick_interval_s):
+def create_dispatcher(
+    handle, executors, flush, lifecycle, tick_interval_s, next_wake=None
+):
     """Return a dispatcher that is not started.
 
     ``handle(event, now, wall)`` returns commands, ``executors`` maps a command type
     to the function that executes it, ``flush()`` follows each batch.
+    ``next_wake(now)`` returns the time by which a tick is wanted, or None.
     """
-    return Dispatcher(handle, executors, flush, lifecycle, tick_interval_s)
+    return Dispatcher(handle, executors, flush, lifecycle, tick_interval_s, next_wake)
 
 
 def _handle_waiting(dispatcher):
@@ -147,13 +176,27 @@
     for _ in range(count):
         event = inbox.popleft()
         now, wall = time.monotonic(), time.time()
-        if type(event) is Tick:
+        if event is _TICK:
             dispatcher._ticked_at = now
+            dispatcher._tick_pending = False
         _execute(dispatcher, handle(event, now, wall))
     dispatcher._events += count
     dispatcher._flush()
     if inbox:
         dispatcher._wake()
+    elif dispatcher._next_wake is not None:
+        _plan_tick(dispatcher)
+
+
+def _plan_tick(dispatcher):
+    """Wake the ticker when a tick is wanted earlier than it would send one."""
+    now = time.monotonic()
+    wanted = dispatcher._next_wake(now)
+    wake_at = math.inf if wanted is None else wanted
+    before, dispatcher._wake_at = dispatcher._wake_at, wake_at
+    next_regular = dispatcher._ticked_at + dispatcher._tick_interval_s
+    if wake_at < min(before, next_regular):
+        dispatcher._rearm.set()
 
 
 def _execute(dispatcher, commands):
--- a/turmericknot/core/lifecycle.py
+++ b/turmericknot/core/lifecycle.py
@@ -5,6 +5,8 @@
 from contextlib import contextmanager
 from enum import Enum
 
+from .passive import PassiveService
+
 
 class Outcome(Enum):
     """How a run of a role ended."""
@@ -14,7 +16,7 @@
     FAILED = "failed"
 
 
-class Lifecycle:
+class Lifecycle(PassiveService):
     """Let any thread end the run; the main thread waits for that."""
 
     __slots__ = ("_ending", "_drained", "_outcome", "_reason")
@@ -35,12 +37,6 @@
         """Return why the run ends."""
         return self._reason
 
-    def start(self):
-        """Do nothing; the kernel starts every service."""
-
-    def stop(self):
-        """Do nothing; the kernel stops every service."""
-
     def end(self, outcome, reason=""):
         """End the run; the first outcome counts, but a fault always counts."""
         if self._outcome is None or outcome is Outcome.FAILED:
--- /dev/null
+++ b/turmericknot/core/process.py
@@ -0,0 +1,15 @@
+"""Figures of the running process for status pages."""
+
+import resource
+import threading
+import time
+
+
+def process_figures(dispatcher):
+    """Return CPU time, peak memory and counts of this process."""
+    return {
+        "cpu_s": time.process_time(),
+        "rss_mb_max": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024,
+        "threads": threading.active_count(),
+        "events": dispatcher.handled_events,
+    }
--- /dev/null
+++ b/turmericknot/entry/dispatcher.py
@@ -0,0 +1,105 @@
+"""The dispatcher of an entry: its decision state behind an actor."""
+
+import random
+import time
+
+from turmericknot.core.dispatcher import create_dispatcher
+from turmericknot.core.ids import incarnation
+from turmericknot.core.lifecycle import Outcome
+from turmericknot.core.passive import PassiveService
+from turmericknot.core.process import process_figures
+from turmericknot.core.reporting import report_executors
+from turmericknot.dispatch import commands, entry
+from turmericknot.wire.messages import EntryAddress
+from turmericknot.wire.traffic import report
+
+
+class Identity(PassiveService):
+    """Address and decision state of one incarnation of an entry."""
+
+    __slots__ = ("address", "state")
+
+    def __init__(self, address, state):
+        self.address = address
+        self.state = state
+
+
+def create_identity(kernel, settings):
+    """Return the identity service: a new incarnation with an empty state."""
+    rng = random.Random()
+    address = EntryAddress(
+        settings.entry_id,
+        incarnation(settings.entry_id, rng),
+        settings.advertised_link_address or settings.link_address,
+        settings.failure_domain,
+        settings.region,
+    )
+    return Identity(address, entry.create_entry_state(settings, address, rng))
+
+
+def create_entry_dispatcher(kernel, settings):
+    """Return the dispatcher service; the services that it commands are found later."""
+    identity = kernel.get("identity")
+    state = identity.state
+
+    def handle(event, now, wall):
+        return entry.handle(state, event, now, wall)
+
+    return create_dispatcher(
+        handle,
+        _executors(kernel, identity),
+        kernel.get("links").flush,
+        kernel.get("lifecycle"),
+        settings.tick_interval_s,
+        lambda now: entry.next_wake(state, now),
+    )
+
+
+def _executors(kernel, identity):
+    links = kernel.get("links")
+    lifecycle = kernel.get("lifecycle")
+    requests = kernel.get("requests")
+    log = kernel.get("log")
+    return {
+        commands.Send: lambda c: links.send(c.stream, c.message),
+        commands.CloseStream: lambda c: links.close(c.stream, c.reason),
+        commands.Respond: lambda c: requests.respond(c.request, c.answer),
+        commands.AppendRecord: lambda c: log.append(c.stream, c.record, c.data),
+        commands.ReadLog: lambda c: log.read_now(),
+        commands.DialEntry: lambda c: kernel.get("peers").dial(
+            c.entry_id, c.link_address
+        ),
+        commands.Retire: lambda c: lifecycle.end(Outcome.RETIRED, c.reason),
+        commands.Drained: lambda c: lifecycle.drained(),
+        **report_executors(entry=identity.address.entry_id),
+    }
+
+
+def create_status(kernel, settings):
+    """Return the status service: a function that collects the figures."""
+    return Status(kernel)
+
+
+class Status(PassiveService):
+    """Collect what an operator wants to see."""
+
+    __slots__ = ("_kernel",)
+
+    def __init__(self, kernel):
+        self._kernel = kernel
+
+    def __call__(self):
+        """Return the figures as plain values."""
+        kernel = self._kernel
+        identity = kernel.get("identity")
+        dispatcher = kernel.get("dispatcher")
+        decided = dispatcher.ask(lambda: entry.status(identity.state, time.monotonic()))
+        return {
+            "entry_id": identity.address.entry_id,
+            **decided,
+            "waiting_callers": len(kernel.get("requests")),
+            "log": kernel.get("log").status(),
+            "config_version": kernel.get("config").version,
+            "traffic": report(kernel.get("links").traffic),
+            "process": process_figures(dispatcher),
+        }
--- a/turmericknot/entry/requests.py
+++ b/turmericknot/entry/requests.py
@@ -4,6 +4,8 @@
 import queue
 from contextlib import contextmanager
 
+from turmericknot.core.passive import PassiveService
+
 
 class Waiter:
     """One waiting request."""
@@ -26,7 +28,7 @@
             return None
 
 
-class Requests:
+class Requests(PassiveService):
     """All waiting requests by number."""
 
     __slots__ = ("_waiters", "_numbers")
@@ -60,6 +62,6 @@
             waiter.put(answer)
 
 
-def create_requests():
+def create_requests_service(kernel, settings):
     """Return an empty table."""
     return Requests()
