--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developers: demo, bench and capacity."""
--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the whole system as real processes on one machine."""
