--- /dev/null
+++ b/tests/utils/test_logging_metrics.py
@@ -0,0 +1,63 @@
+import socket
+
+import pytest
+
+from turmericknot.core.exceptions import ConfigurationError
+from turmericknot.utils import logging, metrics
+
+
+@pytest.fixture
+def statsd_server():
+    server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    server.bind(("127.0.0.1", 0))
+    server.settimeout(2)
+    yield server
+    metrics.close()
+    server.close()
+
+
+def test_one_line_of_pairs_per_event(capsys):
+    """Guards against values that break a line or run into the next pair."""
+    logging.get_logger(entry="e1").info("job accepted", team="a b", text="x\ny")
+    captured = capsys.readouterr()
+    (line,) = captured.err.splitlines()
+    assert captured.out == ""
+    assert 'event="job accepted"' in line
+    assert 'team="a b"' in line
+    assert "entry=e1" in line
+
+
+def test_level_hides_lower_events(capsys):
+    logging.configure("error")
+    try:
+        logging.get_logger().info("hidden")
+    finally:
+        logging.configure("info")
+    assert capsys.readouterr().err == ""
+
+
+def test_unknown_level_is_a_typed_error():
+    with pytest.raises(ConfigurationError, match="loud"):
+        logging.configure("loud")
+
+
+def test_metrics_reach_statsd_without_reserved_characters(statsd_server):
+    """Guards against a team name that forges another metric."""
+    host, port = statsd_server.getsockname()
+    metrics.configure(f"{host}:{port}", "tk")
+    metrics.record("response", "a.b:c|d", "price", 12.5)
+    assert statsd_server.recv(512) == b"tk.response.a_b_c_d.price:12.500000|ms"
+    metrics.count("refused", 3, team="carts")
+    assert statsd_server.recv(512) == b"tk.refused.carts:3|c"
+
+
+def test_nothing_is_sent_without_an_address():
+    metrics.configure("", "tk")
+    metrics.count("refused")
+    metrics.record("response", "carts", "price", 1.0)
+
+
+@pytest.mark.parametrize("address", ["nowhere", "127.0.0.1:port"])
+def test_bad_statsd_address_is_a_typed_error(address):
+    with pytest.raises(ConfigurationError):
+        metrics.configure(address)
