--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -9,6 +9,14 @@
     """A setting is missing, unknown or invalid."""
 
 
+class SettingsError(ConfigurationError):
+    """A settings file has problems; ``problems`` lists every one of them."""
+
+    def __init__(self, problems):
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
 class ServiceError(TurmericknotError):
     """A service of the kernel failed."""
 
