Add system checks with ids and hints

Settings of several files must fit together, and a start should say why it cannot work before it is tried.

--- /dev/null
+++ b/tests/checks/test_checks.py
@@ -0,0 +1,102 @@
+import socket
+import time
+
+import pytest
+
+from turmericknot.checks import Tags, has_errors, run_checks
+from turmericknot.checks.settings import load_files
+from turmericknot.core.exceptions import LogUnavailable
+
+ENTRY = 'entry_id = "{id}"\nfailure_domain = "ub-1"\nregion = "ub"\n'
+AGENT = 'agent_id = "{id}"\nfailure_domain = "ub-1"\nregion = "ub"\n'
+
+
+@pytest.fixture
+def check(tmp_path):
+    """Return a function that checks texts of settings files."""
+
+    def check(*texts, tags=(Tags.SETTINGS,), log_info=None):
+        paths = []
+        for number, text in enumerate(texts):
+            paths.append(tmp_path / f"{number}.toml")
+            paths[-1].write_text(text)
+        context, messages = load_files(paths)
+        context.log_info = log_info
+        return [*messages, *run_checks(context, tags)]
+
+    return check
+
+
+def ids(messages):
+    return [message.id for message in messages]
+
+
+def test_good_files_pass(check):
+    agent = AGENT.format(id="a") + 'seed_entries = ["127.0.0.1:8081"]'
+    assert check(ENTRY.format(id="e"), agent) == []
+
+
+@pytest.mark.parametrize(
+    "text, expected",
+    [
+        ("entry_id = ", "tk.E001"),
+        (ENTRY.format(id="e") + "colour = 1", "tk.E002"),
+        (ENTRY.format(id="e") + "http_threads = 0", "tk.E003"),
+        (ENTRY.format(id="e") + "[membership]\nsuspect_after_s = 0.5", "tk.E004"),
+        (ENTRY.format(id="e") + 'http_address = "127.0.0.1:8081"', "tk.E011"),
+        (AGENT.format(id="a"), "tk.E012"),
+        (ENTRY.format(id="e") + 'link_address = "0.0.0.0:8081"', "tk.E013"),
+        (ENTRY.format(id="e") + "[membership]\nsuspect_after_s = 1.5", "tk.W011"),
+    ],
+)
+def test_each_finding_has_its_id(check, text, expected):
+    """Guards against ids that change under scripts and pages that use them."""
+    messages = check(text)
+    assert ids(messages) == [expected]
+    assert has_errors(messages) == expected.startswith("tk.E")
+
+
+def test_files_are_compared_with_each_other(check):
+    """Guards against two entries that would take each other's claims for their own."""
+    other = ENTRY.format(id="e") + "[claims]\nmax_clock_skew_s = 3"
+    assert ids(check(ENTRY.format(id="e"), other)) == ["tk.E010", "tk.E014"]
+
+
+def log_that_answers(**changes):
+    info = {"retention_s": 3600, "appends_per_s": 400, "now": time.time(), **changes}
+    return lambda url: info
+
+
+def log_out_of_reach(url):
+    raise LogUnavailable("connection refused")
+
+
+@pytest.mark.parametrize(
+    "log_info, expected",
+    [
+        (log_that_answers(), []),
+        (log_that_answers(retention_s=603.9), ["tk.E030"]),
+        (log_that_answers(retention_s=604), []),
+        (log_that_answers(now=time.time() - 60), ["tk.E031"]),
+        (log_that_answers(now=time.time() + 60), ["tk.E031"]),
+        (log_out_of_reach, ["tk.E021"]),
+    ],
+)
+def test_log_service(check, log_info, expected):
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    text = ENTRY.format(id="e") + f'http_address = "{address}"\n'
+    messages = check(text, tags=(Tags.LIVE,), log_info=log_info)
+    assert [id for id in ids(messages) if id != "tk.E020"] == expected
+
+
+def test_port_in_use(check):
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        text = AGENT.format(id="a") + f'announce_address = "{address}"'
+        (message,) = check(text, tags=(Tags.LIVE,))
+    assert message.id == "tk.E020"
+    assert address in message.text
--- a/turmericknot/conf/rules.py
+++ b/turmericknot/conf/rules.py
@@ -13,7 +13,7 @@
 # refuse every job, a higher one does not fit in a process of 256 MB.
 MIN_BODY_BYTES = 1024
 MAX_BODY_BYTES = 128 * 1024 * 1024
-# Agents count two lost heartbeats as silence only when one loss is tolerated.
+# Below two intervals of silence, a single late heartbeat makes a peer suspect.
 MIN_HEARTBEATS_BEFORE_SUSPECT = 2.0
 
 _ID = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?")
