--- a/tests/checks/test_checks.py
+++ b/tests/checks/test_checks.py
@@ -6,6 +6,7 @@
 from turmericknot.checks import Tags, has_errors, run_checks
 from turmericknot.checks.settings import load_files
 from turmericknot.core.exceptions import LogUnavailable
+from turmericknot.platform.log_client import LogInfo
 
 ENTRY = 'entry_id = "{id}"\nfailure_domain = "ub-1"\nregion = "ub"\n'
 AGENT = 'agent_id = "{id}"\nfailure_domain = "ub-1"\nregion = "ub"\n'
@@ -63,8 +64,8 @@
 
 
 def log_that_answers(**changes):
-    info = {"retention_s": 3600, "appends_per_s": 400, "now": time.time(), **changes}
-    return lambda url: info
+    info = {"retention_s": 3600, "appends_per_s": 400, "log_time": time.time()}
+    return lambda url: LogInfo(**{**info, **changes})
 
 
 def log_out_of_reach(url):
@@ -77,8 +78,8 @@
         (log_that_answers(), []),
         (log_that_answers(retention_s=603.9), ["tk.E030"]),
         (log_that_answers(retention_s=604), []),
-        (log_that_answers(now=time.time() - 60), ["tk.E031"]),
-        (log_that_answers(now=time.time() + 60), ["tk.E031"]),
+        (log_that_answers(log_time=time.time() - 60), ["tk.E031"]),
+        (log_that_answers(log_time=time.time() + 60), ["tk.E031"]),
         (log_out_of_reach, ["tk.E021"]),
     ],
 )
--- a/turmericknot/checks/live.py
+++ b/turmericknot/checks/live.py
@@ -63,8 +63,8 @@
         hint = "check log_url; an entry starts without it but refuses claimed work"
         return [create_error("tk.E021", text, hint, file)]
     return [
-        *check_retention(settings.claims, info["retention_s"], file),
-        *check_clock(settings.claims, info["now"] - time.time(), file),
+        *check_retention(settings.claims, info.retention_s, file),
+        *check_clock(settings.claims, info.log_time - time.time(), file),
     ]
 
 
