--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -17,6 +17,18 @@
         self.problems = problems
 
 
+class UsageError(TurmericknotError):
+    """A command was called in a way that it does not allow."""
+
+
+class EntryUnreachable(TurmericknotError):
+    """No entry answers at the address; nothing was sent to it."""
+
+
+class EntryAnswerLost(TurmericknotError):
+    """An entry took a request and its answer was lost or cannot be read."""
+
+
 class ServiceError(TurmericknotError):
     """A service of the kernel failed."""
 
--- /dev/null
+++ b/turmericknot/management/job_files.py
@@ -0,0 +1,61 @@
+"""Job files: the body of ``POST /v1/jobs`` in TOML or JSON."""
+
+import secrets
+import time
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from turmericknot.core.exceptions import RequestError
+
+KEY_BYTES = 12
+MAX_TASKS = 100_000
+
+
+def read_job(path, key="", expires_in_s=300.0, wall_clock=time.time):
+    """Return the body of a job submission.
+
+    A task with ``repeat = n`` stands for n equal tasks. ``key`` and ``expires_at``
+    are filled in when the file has none.
+    """
+    body = _parse(Path(path))
+    tasks = body.get("tasks")
+    if not isinstance(tasks, list) or not tasks:
+        raise RequestError(f"{path}: tasks: found nothing; allowed: a list of tasks")
+    body["tasks"] = [task for one in tasks for task in _repeated(path, one)]
+    if key:
+        body["key"] = key
+    body.setdefault("key", secrets.token_hex(KEY_BYTES))
+    body.setdefault("expires_at", round(wall_clock() + expires_in_s, 3))
+    return body
+
+
+def _parse(path):
+    """Return the table in a TOML or JSON file."""
+    try:
+        data = path.read_bytes()
+        if path.suffix == ".json":
+            body = msgspec.json.decode(data)
+        else:
+            body = tomllib.loads(data.decode())
+    except OSError as error:
+        raise RequestError(f"{path}: {error.strerror}") from error
+    except (msgspec.DecodeError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise RequestError(f"{path}: not a job file: {error}") from error
+    if not isinstance(body, dict):
+        raise RequestError(f"{path}: found a list or value; allowed: a table")
+    return body
+
+
+def _repeated(path, task):
+    """Return the tasks that one entry of the list stands for."""
+    if not isinstance(task, dict):
+        raise RequestError(f"{path}: tasks: found {task!r}; allowed: tables")
+    fields = dict(task)
+    count = fields.pop("repeat", 1)
+    if not isinstance(count, int) or not 1 <= count <= MAX_TASKS:
+        raise RequestError(
+            f"{path}: repeat: found {count!r}; allowed: 1 to {MAX_TASKS}"
+        )
+    return [fields] * count
