Let entries watch agents and peers through membership

An entry probes silent agents of which it is the home, takes suspects out of scheduling, reports them to its peers and closes links to silent peers. The status lists each agent with its configuration version.

--- a/turmericknot/dispatch/agents.py
+++ b/turmericknot/dispatch/agents.py
@@ -1,6 +1,13 @@
 """Agents as an entry sees them: streams, roster, assignments and results."""
 
-from turmericknot.dispatch import answers, appends, cancellation, ownership, takeover
+from turmericknot.dispatch import (
+    answers,
+    appends,
+    cancellation,
+    liveness,
+    ownership,
+    takeover,
+)
 from turmericknot.dispatch.entry_state import Agent, Phase, count, send, wake
 from turmericknot.dispatch.tasks import JobStatus, Reason
 from turmericknot.wire import messages
@@ -24,6 +31,9 @@
     state.agent_streams[event.stream] = agent
     send(state, event.stream, _welcome(state))
     state.policy.agent_joined(state.scheduler, event.stream, hello, state.now)
+    agent.draining = hello.draining
+    agent.config_version = hello.config_version
+    liveness.agent_connected(state, agent)
     update_roster(state, agent)
     if not agent.rostered:
         state.roster_queue.add(agent.incarnation)
@@ -51,6 +61,7 @@
 
 def _leave(state, agent):
     del state.agent_streams[agent.stream]
+    liveness.agent_left(state, agent)
     state.policy.agent_left(state.scheduler, agent.stream, state.now)
     agent.stream = None
     agent.lost_at = state.now
@@ -279,6 +290,7 @@
 
 def draining(state, agent, message):
     """The agent leaves: it gets no more work."""
+    agent.draining = True
     state.policy.agent_draining(state.scheduler, agent.stream, state.now)
 
 
@@ -290,8 +302,31 @@
             del state.agents[agent.incarnation]
 
 
-def ignore(state, agent, message):
-    """Take a message that matters to membership alone."""
+def config_applied(state, agent, message):
+    """Note the configuration version in force at the agent."""
+    agent.config_version = message.version
+
+
+def report(state):
+    """Return a row for each connected agent, for operators."""
+    return [
+        {
+            "agent_id": agent.hello.agent_id,
+            "worker": agent.hello.worker,
+            "failure_domain": agent.hello.failure_domain,
+            "slots": agent.hello.slots,
+            "rostered": agent.rostered,
+            "draining": agent.draining,
+            "config_version": agent.config_version,
+            "usable": _is_usable(state, agent),
+        }
+        for agent in state.agent_streams.values()
+    ]
+
+
+def _is_usable(state, agent):
+    watched = state.membership.agents.get(agent.stream)
+    return bool(watched and watched.usable and agent.rostered and not agent.draining)
 
 
 MESSAGES = {
@@ -302,8 +337,8 @@
     messages.Inventory: inventory,
     messages.Draining: draining,
     messages.RecallDone: cancellation.recall_done,
-    messages.Heartbeat: ignore,
-    messages.ConfigApplied: ignore,
+    messages.Heartbeat: liveness.heartbeat,
+    messages.ConfigApplied: config_applied,
 }
 
 
@@ -311,5 +346,8 @@
     """Handle a message on the open stream of an agent."""
     agent = state.agent_streams.get(event.stream)
     handler = MESSAGES.get(type(event.message))
-    if agent is not None and handler is not None:
+    if agent is None:
+        return
+    liveness.agent_heard(state, agent)
+    if handler is not None:
         handler(state, agent, event.message)
--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -9,6 +9,7 @@
     cancellation,
     claims,
     events,
+    liveness,
     ownership,
     peers,
     scheduler as default_policy,
@@ -18,26 +19,23 @@
 from turmericknot.dispatch.commands import Drained, Retire
 from turmericknot.dispatch.entry_state import EntryState, Phase, emit
 from turmericknot.dispatch.tasks import JobStatus, Reason
+from turmericknot.membership.state import create_membership_state
 
 HOUSEKEEPING_S = 1.0
 # A follower gives the owner this long past the deadline to say how the job ended.
 FOLLOW_GRACE_S = 0.5
 
 
-def home_of_all(state, incarnation):
-    """Treat every agent as at home here; membership replaces this function."""
-    return True
-
-
 def create_entry_state(
-    settings, address, rng, policy=default_policy, is_home=home_of_all
+    settings, address, rng, policy=default_policy, is_home=liveness.is_home
 ):
     """Create the state of one incarnation of an entry.
 
     ``policy`` holds the functions listed in ``scheduler.py``.
     """
     scheduler = policy.create_scheduler(settings, rng)
-    state = EntryState(settings, address, rng, policy, scheduler, is_home)
+    members = create_membership_state(settings.membership, address.entry_id)
+    state = EntryState(settings, address, rng, policy, scheduler, is_home, members)
     state.tokens = settings.claims.append_budget_per_s
     return state
 
@@ -72,7 +70,9 @@
         "incarnation": state.me,
         "active_jobs": state.active,
         "known_jobs": len(state.jobs),
-        "agents": len(state.agent_streams),
+        "config_version": state.config_version,
+        "agents_config_min": _agents_config_min(state),
+        "agents": agents.report(state),
         "peers": len(state.peer_streams),
         "claims_known": len(state.table.jobs),
         "log_readable": state.log_readable,
@@ -85,8 +85,15 @@
     }
 
 
+def _agents_config_min(state):
+    """Return the lowest version in force at a connected agent."""
+    versions = [agent.config_version for agent in state.agent_streams.values()]
+    return min(versions, default=state.config_version)
+
+
 def _tick(state, event):
     appends.tick(state)
+    liveness.tick(state)
     answers.flush_acknowledgements(state)
     peers.send_digest(state)
     for job_id in state.policy.expired(state.scheduler, state.now):
@@ -262,6 +269,7 @@
 
 def _config_changed(state, event):
     state.configured = True
+    state.config_version = event.version
     state.policy.config_changed(state.scheduler, event.version, event.tree, state.now)
 
 
--- a/turmericknot/dispatch/entry_state.py
+++ b/turmericknot/dispatch/entry_state.py
@@ -14,6 +14,7 @@
 from turmericknot.dispatch.commands import Send
 from turmericknot.dispatch.scheduler import Refusal
 from turmericknot.dispatch.tasks import Answer, JobSpec
+from turmericknot.membership.state import MembershipState
 from turmericknot.wire.messages import EntryAddress, Hello, TaskResult
 
 
@@ -77,6 +78,8 @@
     stream: int | None = None
     lost_at: float = 0.0
     rostered: bool = False
+    draining: bool = False
+    config_version: int = 0
     # Tasks sent on the open stream and tasks sent on streams that broke.
     sent: dict[bytes, set[int]] = field(default_factory=dict)
     doubtful: dict[bytes, set[int]] = field(default_factory=dict)
@@ -124,6 +127,7 @@
     policy: ModuleType | Any  # the functions listed in scheduler.py
     scheduler: Any
     is_home: Any  # is_home(state, incarnation) -> bool
+    membership: MembershipState
     now: float = 0.0
     wall: float = 0.0
     commands: list = field(default_factory=list)
@@ -161,6 +165,7 @@
     timers: list[tuple[float, bytes]] = field(default_factory=list)
     next_request: int = 0
     configured: bool = False
+    config_version: int = 0
     drain_until: float | None = None
     drained: bool = False
     retired: bool = False
--- a/turmericknot/dispatch/peers.py
+++ b/turmericknot/dispatch/peers.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from turmericknot.dispatch import answers, cancellation, ownership, submissions
+from turmericknot.dispatch import (
+    answers,
+    cancellation,
+    liveness,
+    ownership,
+    submissions,
+)
 from turmericknot.dispatch.commands import DialEntry
 from turmericknot.dispatch.entry_state import Peer, Phase, emit, send
 from turmericknot.dispatch.tasks import Answer, JobStatus, Reason
@@ -56,6 +62,7 @@
     peer.stream = event.stream
     peer.refused = False
     state.peer_streams[event.stream] = peer
+    liveness.peer_connected(state, event.stream, address)
     _replace_older(state, address)
     ownership.peer_reachable(state, peer)
 
@@ -81,6 +88,7 @@
 
 def _leave(state, peer):
     del state.peer_streams[peer.stream]
+    liveness.peer_left(state, peer.stream)
     state.policy.peer_lost(state.scheduler, peer.address.entry_id, state.now)
     peer.stream = None
     peer.seen = state.wall
@@ -157,13 +165,18 @@
     messages.JobLocation: submissions.located,
     messages.CancelJob: cancel_job,
     messages.TeamDigest: digest,
+    messages.AgentStates: liveness.agents_reported,
+    messages.Heartbeat: liveness.ignore_heartbeat,
 }
 
 
 def message(state, event):
     """Handle a message on the open link of a peer."""
     handler = MESSAGES.get(type(event.message))
-    if event.stream in state.peer_streams and handler is not None:
+    if event.stream not in state.peer_streams:
+        return
+    liveness.peer_heard(state, event.stream)
+    if handler is not None:
         handler(state, event.stream, event.message)
 
 
