--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -9,6 +9,26 @@
     """A setting is missing, unknown or invalid."""
 
 
+class SettingsError(ConfigurationError):
+    """A settings file has problems; ``problems`` lists every one of them."""
+
+    def __init__(self, problems):
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class UsageError(TurmericknotError):
+    """A command was called in a way that it does not allow."""
+
+
+class EntryUnreachable(TurmericknotError):
+    """No entry answers at the address; nothing was sent to it."""
+
+
+class EntryAnswerLost(TurmericknotError):
+    """An entry took a request and its answer was lost or cannot be read."""
+
+
 class ServiceError(TurmericknotError):
     """A service of the kernel failed."""
 
