Check the settings that entries and agents share

advertised_link_address and fence_lifetime_s get rules; tk.E015 finds agents that forget a fence before the keys it covers expire. A setting without a rule is checked by type alone, and a test demands a rule. load is registered as a command. 69 tests pass in tests/conf, tests/checks, tests/management.

--- a/tests/checks/test_checks.py
+++ b/tests/checks/test_checks.py
@@ -63,6 +63,13 @@
     assert ids(check(ENTRY.format(id="e"), other)) == ["tk.E010", "tk.E014"]
 
 
+def test_fences_outlive_keys(check):
+    """Guards against a fenced owner whose starts an agent accepts again."""
+    agent = AGENT.format(id="a") + 'seed_entries = ["127.0.0.1:1"]\n'
+    agent += "fence_lifetime_s = 603"
+    assert ids(check(agent, ENTRY.format(id="e"))) == ["tk.E015"]
+
+
 def log_that_answers(**changes):
     info = {"retention_s": 3600, "appends_per_s": 400, "log_time": time.time()}
     return lambda url: LogInfo(**{**info, **changes})
--- a/turmericknot/checks/live.py
+++ b/turmericknot/checks/live.py
@@ -9,7 +9,7 @@
 
 from .messages import create_error, create_warning
 from .registry import Tags, register
-from .settings import listening_addresses
+from .settings import claim_lifetime_s, listening_addresses
 
 # A clock this far into the allowed difference should be looked at.
 WARN_SKEW_SHARE = 0.5
@@ -70,7 +70,7 @@
 
 def check_retention(claims, retention_s, subject=""):
     """Compare the log's retention with the lifetime of keys (tk.E030)."""
-    needed_s = claims.max_key_lifetime_s + 2 * claims.max_clock_skew_s
+    needed_s = claim_lifetime_s(claims)
     if retention_s >= needed_s:
         return []
     text = (
--- a/turmericknot/checks/settings.py
+++ b/turmericknot/checks/settings.py
@@ -46,6 +46,18 @@
     return [(key, getattr(settings, key)) for key in present]
 
 
+def _entries(context):
+    """Return ``(file, settings)`` of each entry."""
+    items = context.settings.items()
+    return [item for item in items if isinstance(item[1], EntrySettings)]
+
+
+def _agents(context):
+    """Return ``(file, settings)`` of each agent."""
+    items = context.settings.items()
+    return [item for item in items if isinstance(item[1], AgentSettings)]
+
+
 def _is_wildcard(address):
     """Tell whether the host of an address stands for every interface."""
     host, _ = split_address(address)
@@ -97,17 +109,14 @@
 @register(Tags.SETTINGS)
 def check_link_address(context):
     """Find link addresses that peers cannot dial (tk.E013)."""
-    return [
-        create_error(
-            "tk.E013",
-            f"link_address {settings.link_address} names every interface",
-            "entries publish this address to agents and peers, so it must be one"
-            " that they can dial",
-            file,
-        )
-        for file, settings in context.settings.items()
-        if isinstance(settings, EntrySettings) and _is_wildcard(settings.link_address)
-    ]
+    messages = []
+    for file, settings in _entries(context):
+        published = settings.advertised_link_address or settings.link_address
+        if _is_wildcard(published):
+            text = f"{published} is published to agents and peers, who cannot dial it"
+            hint = "set advertised_link_address to an address of this host"
+            messages.append(create_error("tk.E013", text, hint, file))
+    return messages
 
 
 @register(Tags.SETTINGS)
@@ -120,8 +129,8 @@
             "list the link_address of one entry or more, or of the load balancer",
             file,
         )
-        for file, settings in context.settings.items()
-        if isinstance(settings, AgentSettings) and not settings.seed_entries
+        for file, settings in _agents(context)
+        if not settings.seed_entries
     ]
 
 
@@ -147,8 +156,7 @@
     """Find entries that disagree on the bounds of at-most-once (tk.E014)."""
     bounds = {
         file: (settings.claims.max_key_lifetime_s, settings.claims.max_clock_skew_s)
-        for file, settings in context.settings.items()
-        if isinstance(settings, EntrySettings)
+        for file, settings in _entries(context)
     }
     if len(set(bounds.values())) <= 1:
         return []
@@ -163,3 +171,26 @@
             "use the same values at every entry",
         )
     ]
+
+
+@register(Tags.SETTINGS)
+def check_fence_lifetime(context):
+    """Find agents that forget a fence before the keys it covers expire (tk.E015)."""
+    claims = [settings.claims for _, settings in _entries(context)]
+    needed_s = max((claim_lifetime_s(one) for one in claims), default=0.0)
+    return [
+        create_error(
+            "tk.E015",
+            f"fence_lifetime_s is {settings.fence_lifetime_s:g} s, but keys live up"
+            f" to {needed_s:g} s (max_key_lifetime_s + 2 * max_clock_skew_s)",
+            "raise fence_lifetime_s, or a fenced owner could start tasks again",
+            file,
+        )
+        for file, settings in _agents(context)
+        if settings.fence_lifetime_s < needed_s
+    ]
+
+
+def claim_lifetime_s(claims):
+    """Return how long a claim matters after it was made."""
+    return claims.max_key_lifetime_s + 2 * claims.max_clock_skew_s
--- a/turmericknot/conf/loader.py
+++ b/turmericknot/conf/loader.py
@@ -9,7 +9,7 @@
 
 from turmericknot.core.exceptions import SettingsError
 
-from .rules import RELATIONS, RULES
+from .rules import ANY, RELATIONS, RULES
 from .schema import AgentSettings, EntrySettings
 
 ROLES = {"entry": EntrySettings, "agent": AgentSettings}
@@ -133,7 +133,7 @@
             return _construct(kind, values)
         allowed = f"a table [{path}]"
     else:
-        rule = RULES[path]
+        rule = RULES.get(path, ANY)
         converted = _convert(kind, value)
         if converted is not None and rule.accepts(converted):
             return converted
@@ -197,7 +197,8 @@
 def _missing_key(name, file, prefix):
     """Return the problem of a required key that is absent."""
     path = prefix + name
-    return Problem(file, path, "nothing", RULES[path].allowed, ProblemKind.KEY)
+    allowed = RULES.get(path, ANY).allowed
+    return Problem(file, path, "nothing", allowed, ProblemKind.KEY)
 
 
 def _shown(value):
--- a/turmericknot/conf/rules.py
+++ b/turmericknot/conf/rules.py
@@ -86,6 +86,9 @@
     lambda value: all(split_address(address) for address in value),
 )
 
+# A setting without a rule of its own; only its type is checked.
+ANY = Rule("any value of this type", lambda value: True)
+
 # Rules by the path of the setting inside its file.
 RULES = {
     "entry_id": _IDENTIFIER,
@@ -94,6 +97,7 @@
     "region": _IDENTIFIER,
     "http_address": _ADDRESS,
     "link_address": _ADDRESS,
+    "advertised_link_address": _OPTIONAL_ADDRESS,
     "announce_address": _ADDRESS,
     "log_url": Rule("a URL http://host:port", _is_http_url),
     "statsd_address": _OPTIONAL_ADDRESS,
@@ -106,6 +110,7 @@
     "result_retention_s": _between(0, 3600, "s"),
     "result_memory_bytes": _between(1024 * 1024, 1024**3, "bytes"),
     "lease_margin_s": _between(0.1, 3600, "s"),
+    "fence_lifetime_s": _between(1, 90000, "s"),
     "log_level": _one_of(LOG_LEVELS),
     "claims.max_key_lifetime_s": _between(1, 86400, "s"),
     "claims.max_clock_skew_s": _between(0, 60, "s"),
--- a/turmericknot/management/commands/load.py
+++ b/turmericknot/management/commands/load.py
@@ -1,7 +1,8 @@
-"""Play a workload against running entries and report on it."""
+"""``turmericknot load``: play a workload against running entries."""
 
 from turmericknot.core.exceptions import TurmericknotError
 from turmericknot.load import player, report, trace, workload
+from turmericknot.management.registry import register
 
 EXIT_OK = 0
 EXIT_FAULT = 1
@@ -11,10 +12,17 @@
     """An answer was lost, doubled, partial or another job's."""
 
 
+@register("load")
 def load(workload_file, *entries, output="build/load", name="load"):
     """Play WORKLOAD_FILE against ENTRIES (base URLs) and write a report.
 
-    Return the exit code: 0 when every job got its whole answer or a typed failure.
+    The exit code is 0 when every job got its whole answer or a typed failure.
+
+    Args:
+        workload_file: description of the workload (TOML)
+        entries: base URLs of entries, such as http://127.0.0.1:8080
+        output: directory of the report
+        name: name of the run; it seeds the arrivals
     """
     description = workload.load_workload(workload_file)
     jobs = trace.generate(description, name)
