--- a/turmericknot/conf/rules.py
+++ b/turmericknot/conf/rules.py
@@ -60,7 +60,9 @@
 def _between(low, high, unit=""):
     """Return a rule for numbers from low to high, both included."""
     suffix = f" {unit}" if unit else ""
-    return Rule(f"{low:g} to {high:g}{suffix}", lambda value: low <= value <= high)
+    return Rule(
+        f"{low:.10g} to {high:.10g}{suffix}", lambda value: low <= value <= high
+    )
 
 
 def _one_of(values):
