Add the demo of real processes and the build of the binary

make run starts a federation, submits two jobs through both entries and checks answers and starts; make binary builds one file and tries it out. Neither has run yet: the services of the roles are still missing.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,11 @@
 
 clean:
 	rm -rf build dist
+
+# A federation of real processes on loopback; see tools/run_demo.py.
+run: install
+	$(BIN)/python -m tools.run_demo
+
+# One file that needs no Python on the host.
+binary: install
+	$(BIN)/python -m tools.build_binary
--- a/turmericknot/management/client.py
+++ b/turmericknot/management/client.py
@@ -91,7 +91,14 @@
     status, body = result
     if isinstance(body, dict) and "status" in body:
         return body
-    detail = body.get("detail") or body.get("error") if isinstance(body, dict) else body
+    detail = _error_text(body)
     if 400 <= status < 500:
         raise RequestError(f"the entry refused the request ({status}): {detail}")
     raise EntryAnswerLost(f"the entry answered with status {status}: {detail}")
+
+
+def _error_text(body):
+    """Return the error code and detail of a body that is no answer of a job."""
+    if not isinstance(body, dict):
+        return body
+    return ": ".join(body[name] for name in ("error", "detail") if body.get(name))
--- a/turmericknot/management/commands/roles.py
+++ b/turmericknot/management/commands/roles.py
@@ -25,7 +25,7 @@
         settings: settings file of the entry (TOML)
         log_level: overrides log_level of the file
     """
-    _run("entry", settings, log_level)
+    return _run("entry", settings, log_level)
 
 
 @register("agent", "run")
@@ -39,11 +39,11 @@
         settings: settings file of the agent (TOML)
         log_level: overrides log_level of the file
     """
-    _run("agent", settings, log_level)
+    return _run("agent", settings, log_level)
 
 
 def _run(role, path, log_level):
-    """Check the settings and run the role's service."""
+    """Check the settings, run the role's service and return its exit code."""
     if log_level and log_level not in LOG_LEVELS:
         allowed = ", ".join(LOG_LEVELS)
         raise UsageError(f"--log-level: found {log_level!r}; allowed: {allowed}")
@@ -52,7 +52,7 @@
     metrics.configure(settings.statsd_address)
     # Imported here, so that the other commands start without the role's libraries.
     service = importlib.import_module(f"turmericknot.{role}.service")
-    service.serve(settings)
+    return service.serve(settings)
 
 
 def _checked_settings(role, path):
