Read the clock in the test of the log checks when it runs

The parameters held the time of collection, so the test failed with tk.E031 when more than 2 s of other tests ran before it.

--- a/tests/checks/test_checks.py
+++ b/tests/checks/test_checks.py
@@ -70,9 +70,9 @@
     assert ids(check(agent, ENTRY.format(id="e"))) == ["tk.E015"]
 
 
-def log_that_answers(**changes):
-    info = {"retention_s": 3600, "appends_per_s": 400, "log_time": time.time()}
-    return lambda url: LogInfo(**{**info, **changes})
+def log_that_answers(retention_s=3600, clock_offset_s=0.0):
+    # The time is read at the call: pytest collects long before it runs.
+    return lambda url: LogInfo(retention_s, 400, time.time() + clock_offset_s)
 
 
 def log_out_of_reach(url):
@@ -85,8 +85,8 @@
         (log_that_answers(), []),
         (log_that_answers(retention_s=603.9), ["tk.E030"]),
         (log_that_answers(retention_s=604), []),
-        (log_that_answers(log_time=time.time() - 60), ["tk.E031"]),
-        (log_that_answers(log_time=time.time() + 60), ["tk.E031"]),
+        (log_that_answers(clock_offset_s=-60), ["tk.E031"]),
+        (log_that_answers(clock_offset_s=60), ["tk.E031"]),
         (log_out_of_reach, ["tk.E021"]),
     ],
 )
