--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -121,7 +121,7 @@
 
         def ready():
             return all(
-                entry.status()["agents"] == len(self.agents)
+                len(entry.status()["agents"]) == len(self.agents)
                 and entry.status()["peers"] == len(self.entries) - 1
                 and entry.status()["config_version"] > 0
                 for entry in self.entries
