--- /dev/null
+++ b/tests/dispatch/driver.py
@@ -0,0 +1,270 @@
+"""Discrete-event driver: real schedulers and real agents on a trace of jobs.
+
+Messages take a fixed time, tasks take the trace's run times. Claims, leases and the
+network's failures are left out; figures from here are driver figures.
+"""
+
+import random
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from types import SimpleNamespace
+
+from turmericknot.conf.schema import AgentSettings, EntrySettings, PolicySettings
+from turmericknot.dispatch import agent, commands, events, scheduler
+from turmericknot.dispatch.tasks import JobSpec, Task
+from turmericknot.wire import messages
+
+SAME_DOMAIN_S = 0.0002
+CROSS_DOMAIN_S = 0.0015
+TICK_S = 0.02
+FAIL_MS = 2.0  # a faulty worker fails a task this fast
+EXPIRES_AT = 1e9
+WALL = 1e8
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What became of one job of the trace."""
+
+    arrived: float
+    status: str = "pending"
+    ended: float = 0.0
+    left: int = 0
+
+
+@dataclass(slots=True)
+class Run:
+    """Started task: who used which agent from when to when."""
+
+    job: int
+    team: str
+    agent: int
+    start: float
+    end: float
+    failed: bool
+
+
+@dataclass
+class Driver:
+    """One federation on one trace; call ``run`` once."""
+
+    trace: object
+    policy: str = "windows"
+    entries: int = 2
+    agents: int = 10
+    slots: int = 8
+    domains: int = 3
+    seed: int = 1
+    teams: dict = field(default_factory=dict)
+    faulty: tuple = ()
+    slow: dict = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.heap, self.sequence, self.now = [], 0, 0.0
+        self.outcomes, self.runs, self.waiting_log = [], [], []
+        self.messages = self.frames = 0
+        self.rng = random.Random(f"driver/{self.seed}")
+        names = {job.team for job in self.trace.jobs}
+        tree = {"teams": {name: self.teams.get(name, {}) for name in names}}
+        self.schedulers = [self._scheduler(n, tree) for n in range(self.entries)]
+        self.sites = [self._agent(n) for n in range(self.agents)]
+        for number in range(self.agents):
+            self._connect(number)
+        for number, job in enumerate(self.trace.jobs):
+            self.outcomes.append(Outcome(job.at_s, left=len(job.run_ms)))
+            self.at(job.at_s, self._submit, number)
+        self.at(0.0, self._tick)
+
+    def at(self, when, function, *arguments):
+        self.sequence += 1
+        heappush(self.heap, (when, self.sequence, function, arguments))
+
+    def run(self, until=None):
+        """Play the trace to its end and until the queues are empty."""
+        until = until or self.trace.duration_s * 3 + 30.0
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, function, arguments = heappop(self.heap)
+            function(*arguments)
+            if self.now > self.trace.duration_s and self._idle():
+                break
+        return self
+
+    def _idle(self):
+        return all(outcome.status != "pending" for outcome in self.outcomes)
+
+    def _scheduler(self, number, tree):
+        settings = EntrySettings(
+            f"e{number}",
+            f"d{number % self.domains}",
+            "r1",
+            policy=PolicySettings(policy=self.policy),
+        )
+        rng = random.Random(f"{self.seed}/{number}")
+        state = scheduler.create_scheduler(settings, rng)
+        scheduler.config_changed(state, 1, tree, 0.0)
+        return state
+
+    def _agent(self, number):
+        settings = AgentSettings(f"a{number}", f"d{number % self.domains}", "r1")
+        rng = random.Random(f"{self.seed}/a{number}")
+        state = agent.create_agent_state(settings, f"a{number}#0", rng)
+        state.settings.announce_ttl_s = 1e9
+        return state
+
+    def _connect(self, number):
+        state = self.sites[number]
+        announced = events.TargetAnnounced(
+            f"w{number}", "-", self.slots, 16.0, 32768, 0
+        )
+        agent.handle(state, announced, 0.0, WALL)
+        for entry, known in enumerate(self.schedulers):
+            scheduler.agent_joined(known, number, agent.hello(state), 0.0)
+            scheduler.set_rostered(known, number, True, 0.0)
+            welcome = messages.Welcome(1, f"e{entry}", f"e{entry}#0", [], 1)
+            self._agent_event(number, events.EntryConnected(entry, welcome))
+
+    def _delay(self, entry, number):
+        same = entry % self.domains == number % self.domains
+        return SAME_DOMAIN_S if same else CROSS_DOMAIN_S
+
+    def _agent_event(self, number, event):
+        out = agent.handle(self.sites[number], event, self.now, WALL + self.now)
+        for command in out:
+            if isinstance(command, commands.StartTask):
+                self._start(number, command)
+            elif isinstance(command, commands.Send):
+                entry = command.stream
+                self._send(entry, number, self._entry_message, command.message)
+
+    def _send(self, entry, number, deliver, message):
+        counted = not isinstance(message, (messages.Heartbeat, messages.Inventory))
+        self.messages += counted
+        delay = self._delay(entry, number)
+        self.at(self.now + delay, deliver, entry, number, message)
+
+    def _start(self, number, command):
+        job = int.from_bytes(command.job, "big")
+        index = command.task.index
+        failed = number in self.faulty
+        run_ms = self.trace.jobs[job].run_ms[index] * self.slow.get(number, 1.0)
+        run_ms = FAIL_MS if failed else run_ms
+        end = self.now + run_ms / 1e3
+        self.runs.append(Run(job, command.team, number, self.now, end, failed))
+        status = messages.TaskStatus.FAILED if failed else messages.TaskStatus.OK
+        done = events.TaskFinished(command.job, index, status, b"", run_ms)
+        self.at(end, self._agent_event, number, done)
+
+    def _entry_message(self, entry, number, message):
+        state = self.schedulers[entry]
+        if isinstance(message, messages.Window):
+            scheduler.set_window(state, number, message, self.now)
+        elif isinstance(message, messages.Results):
+            for result in message.results:
+                known = (message.job, result.index, result.status, result.run_ms)
+                scheduler.task_done(state, number, *known, self.now)
+                self._task_ended(state, message.job, result.status)
+        elif isinstance(message, messages.Returned):
+            returned = (message.job, message.indexes)
+            scheduler.tasks_returned(state, number, *returned, self.now)
+        self._dispatch(entry)
+
+    def _task_ended(self, state, identifier, status):
+        outcome = self.outcomes[int.from_bytes(identifier, "big")]
+        outcome.left -= 1
+        if outcome.status != "pending":
+            return
+        if status != messages.TaskStatus.OK:
+            outcome.status, outcome.ended = "failed", self.now
+            scheduler.remove_job(state, identifier, self.now)
+        elif not outcome.left:
+            outcome.status, outcome.ended = "complete", self.now
+
+    def _submit(self, number):
+        job = self.trace.jobs[number]
+        entry = number % self.entries
+        state = self.schedulers[entry]
+        tasks = [Task(i, b"", declared) for i, declared in enumerate(job.declared_ms)]
+        identifier = number.to_bytes(16, "big")
+        spec = JobSpec(
+            identifier,
+            job.team,
+            job.key,
+            EXPIRES_AT,
+            job.deadline_s,
+            job.task_class,
+            job.idempotent,
+            tasks,
+        )
+        if scheduler.admit(state, spec, self.now):
+            self.outcomes[number].status = "not_run"
+            self.outcomes[number].ended = self.now
+            return
+        deadline = self.now + job.deadline_s
+        scheduler.add_job(state, spec, range(len(tasks)), deadline, True, self.now)
+        self._dispatch(entry)
+
+    def _dispatch(self, entry):
+        state = self.schedulers[entry]
+        for assignment in scheduler.next_assignments(state, self.now):
+            message = self._assign(entry, state, assignment)
+            self._send(entry, assignment.stream, self._to_agent, message)
+        for number, message in scheduler.demand(state, self.now):
+            self._send(entry, number, self._to_agent, message)
+
+    def _assign(self, entry, state, assignment):
+        job = self.trace.jobs[int.from_bytes(assignment.job, "big")]
+        specs = [
+            scheduler.spec_for(state, assignment.job, index)
+            for index in assignment.indexes
+        ]
+        return messages.Assign(
+            assignment.job,
+            f"e{entry}#0",
+            job.team,
+            job.task_class,
+            EXPIRES_AT,
+            1e6,
+            specs,
+            *scheduler.waiting(state, assignment.stream),
+            assignment.window_sequence,
+        )
+
+    def _to_agent(self, entry, number, message):
+        self._agent_event(number, events.EntryMessage(entry, message))
+
+    def _tick(self):
+        for entry, state in enumerate(self.schedulers):
+            for identifier in scheduler.expired(state, self.now):
+                outcome = self.outcomes[int.from_bytes(identifier, "big")]
+                if outcome.status == "pending":
+                    outcome.status, outcome.ended = "expired", self.now
+                scheduler.remove_job(state, identifier, self.now)
+            digest = scheduler.digest(state, self.now)
+            if digest is not None:
+                self._share(entry, digest)
+            self._dispatch(entry)
+        self._log_waiting()
+        self.at(self.now + TICK_S, self._tick)
+
+    def _share(self, entry, digest):
+        for peer, state in enumerate(self.schedulers):
+            if peer != entry:
+                receive = scheduler.peer_digest
+                at = self.now + CROSS_DOMAIN_S
+                self.at(at, self._receive, receive, state, entry, digest)
+
+    def _receive(self, receive, state, entry, digest):
+        receive(state, entry, digest, self.now)
+
+    def _log_waiting(self):
+        waiting = sum(state.waiting for state in self.schedulers)
+        waiting += sum(len(site.queue) for site in self.sites)
+        running = sum(len(site.running) for site in self.sites)
+        by_team = {}
+        for state in self.schedulers:
+            for team in state.teams.values():
+                by_team[team.name] = by_team.get(team.name, 0) + team.waiting
+        sample = SimpleNamespace(
+            at=self.now, waiting=waiting, running=running, teams=by_team
+        )
+        self.waiting_log.append(sample)
--- /dev/null
+++ b/tests/dispatch/workloads.py
@@ -0,0 +1,167 @@
+"""Workloads of the driver and the figures taken from them."""
+
+from tests.dispatch.driver import Driver
+from turmericknot.load.report import percentile
+from turmericknot.load.trace import generate, ideal_responses
+from turmericknot.load.workload import Distribution, Stream, Swing, Workload
+
+SLOTS = 80
+SHORT = Distribution("uniform", 50.0, 500.0)
+LONG = Distribution("uniform", 1000.0, 10000.0)
+MIXED = Distribution("lognormal", 50.0, 1000.0, 200.0, 0.8)
+JOB = Distribution("lognormal", 1.0, 60.0, 4.0, 1.0)
+SWING_S = (5.0, 15.0)
+
+
+def _stream(team="red", task_class="check", **fields):
+    values = {"job_tasks": JOB, "run_ms": MIXED, "deadline_s": 60.0, **fields}
+    return Stream(team, task_class, **values)
+
+
+def _trace(streams, seed, load=0.7, duration_s=20.0, **fields):
+    workload = Workload(
+        streams, seed=seed, duration_s=duration_s, slots=SLOTS, load=load, **fields
+    )
+    return generate(workload, "driver")
+
+
+def _responses(driver, task_class=None):
+    return [
+        (outcome.ended - outcome.arrived, number)
+        for number, outcome in enumerate(driver.outcomes)
+        if outcome.status == "complete"
+        and task_class in (None, driver.trace.jobs[number].task_class)
+    ]
+
+
+def response_ratio(policy, seed):
+    """Response time over the ideal central queue at 70% load."""
+    trace = _trace([_stream("red"), _stream("blue", "reserve")], seed)
+    driver = Driver(trace, policy, seed=seed).run()
+    ideal = ideal_responses(trace)
+    ratios = [response / ideal[number] for response, number in _responses(driver)]
+    return {
+        "response_ratio_p50": percentile(ratios, 0.5),
+        "response_ratio_p99": percentile(ratios, 0.99),
+        "messages_per_task": driver.messages / len(driver.runs),
+    }
+
+
+def _short_p99(policy, seed, with_long, wrong_share):
+    # The short jobs are the same in all cases and make up 34% of the capacity; 5%
+    # of the tasks that are 20 times longer bring the load to 70%.
+    streams = [_stream(run_ms=SHORT, wrong_share=wrong_share)]
+    if with_long:
+        fields = {"jobs_per_s": 0.05 / 0.95, "wrong_share": wrong_share}
+        streams.append(_stream("red", "match", run_ms=LONG, **fields))
+    load = 0.7 if with_long else 0.7 * 0.95 / 1.95
+    driver = Driver(_trace(streams, seed, load=load), policy, seed=seed).run()
+    return percentile([r for r, _ in _responses(driver, "check")], 0.99)
+
+
+def head_of_line(policy, seed):
+    """Short work beside 5% of tasks that are 20 times longer."""
+    without = _short_p99(policy, seed, False, 0.0)
+    return {
+        "short_p99_with_long": _short_p99(policy, seed, True, 0.0) / without,
+        "short_p99_wrong_sizes": _short_p99(policy, seed, True, 0.5) / without,
+    }
+
+
+def burst(policy, seed):
+    """A swing to 3 times capacity for 10 s; deadlines of 2 s."""
+    start, end = SWING_S
+    swing = Swing(start, end - start, 3.0 / 0.7)
+    streams = [
+        _stream(team, deadline_s=2.0, run_ms=MIXED, wrong_share=0.2)
+        for team in ("red", "blue")
+    ]
+    trace = _trace(streams, seed, swings=[swing])
+    driver = Driver(trace, policy, seed=seed).run()
+    good = sum(
+        max(0.0, min(run.end, end) - max(run.start, start))
+        for run in driver.runs
+        if _met_deadline(driver, run.job)
+    )
+    return {
+        "burst_goodput": good / (SLOTS * (end - start)),
+        "unused_share": unused_share(driver, start, end),
+    }
+
+
+def _met_deadline(driver, number):
+    outcome = driver.outcomes[number]
+    late_by = outcome.ended - outcome.arrived - driver.trace.jobs[number].deadline_s
+    return outcome.status == "complete" and late_by <= 0
+
+
+def unused_share(driver, start, end):
+    """Capacity idle while admitted work waits."""
+    samples = [s for s in driver.waiting_log if start <= s.at < end]
+    idle = sum(max(0, min(s.waiting, SLOTS - s.running)) for s in samples)
+    return idle / (SLOTS * max(1, len(samples)))
+
+
+def fairness(policy, seed):
+    """Two teams that use their share while a third floods at 10 times its own."""
+    share = SLOTS / 3
+    streams = [
+        _stream("red", jobs_per_s=10.0, deadline_s=1e4),
+        _stream("blue", jobs_per_s=1.3, deadline_s=1e4),
+        _stream(
+            "green",
+            "match",
+            jobs_per_s=0.13,
+            run_ms=Distribution("uniform", 500.0, 5000.0),
+            deadline_s=1e4,
+        ),
+    ]
+    load = (10.0 + 1.3 + 1.3) / 3
+    driver = Driver(_trace(streams, seed, load=load), policy, seed=seed)
+    driver.run(until=20.0)
+    worst = min(
+        _least_use(driver, team, second, share)
+        for team in ("blue", "green")
+        for second in range(3, 19)
+    )
+    return {"fair_min_share": worst, "flood_unused_share": unused_share(driver, 2, 19)}
+
+
+def _least_use(driver, team, second, share):
+    """Return the team's use of its share in one second, 1 when it had no backlog."""
+    samples = [s for s in driver.waiting_log if second <= s.at < second + 1]
+    if driver.policy == "windows" and any(not s.teams.get(team) for s in samples):
+        return 1.0
+    used = sum(
+        max(0.0, min(run.end, second + 1) - max(run.start, second))
+        for run in driver.runs
+        if run.team == team
+    )
+    return used / share
+
+
+def faulty_worker(policy, seed):
+    """One of ten workers fails all it starts."""
+    trace = _trace([_stream("red"), _stream("blue", "reserve")], seed, duration_s=30.0)
+    driver = Driver(trace, policy, seed=seed, faulty=(3,)).run()
+    failed = sum(run.failed for run in driver.runs)
+    return {"faulty_worker_loss": failed / len(driver.runs)}
+
+
+def straggler(policy, seed):
+    """One of ten workers is five times slower."""
+    trace = _trace([_stream("red"), _stream("blue", "reserve")], seed, load=0.5)
+    driver = Driver(trace, policy, seed=seed, slow={3: 5.0}).run()
+    ideal = ideal_responses(trace)
+    ratios = [response / ideal[number] for response, number in _responses(driver)]
+    return {"straggler_ratio_p99": percentile(ratios, 0.99)}
+
+
+WORKLOADS = {
+    "response": response_ratio,
+    "head_of_line": head_of_line,
+    "burst": burst,
+    "fairness": fairness,
+    "faulty": faulty_worker,
+    "straggler": straggler,
+}
