Amortise the cost of choosing a team over the tasks started

Cause: each started task paid for a heap push, a pool choice and the accounting. Change: teams whose tasks ended are queued anew once per round; one choice of a failure domain serves a few picks; a team starts an eighth of its due slots, at most 4 tasks, at once.

--- a/turmericknot/dispatch/fairshare.py
+++ b/turmericknot/dispatch/fairshare.py
@@ -13,6 +13,8 @@
 
 HORIZON_S = 1.0  # seconds of present use that a new start competes against
 SETTLE_INTERVAL_S = 0.05  # virtual times older than this are brought up to date
+QUANTUM_SHARE = 0.125  # part of its due slots that a team starts at once
+MAX_QUANTUM = 4
 MIN_SHARE = 0.01  # of its weight that a team keeps at an entry it is new to
 COMPACT_SLACK = 512  # void places kept before the heap is compacted
 INFINITY = float("inf")
@@ -120,11 +122,17 @@
 
 
 def quantum(fair, team, cost):
-    """Return how many tasks a team may start before the next team is due."""
+    """Return how many tasks a team may start before the next team is due.
+
+    A team that has a large share starts a few at once, because each change of team
+    costs as much as placing a task.
+    """
     ahead = next_key(fair) - key_of(team)
     if ahead == INFINITY:
         return UNLIMITED
-    return 1 + max(0, int(ahead * team.local_weight / (HORIZON_S * cost)))
+    count = 1 + int(ahead * team.local_weight / (HORIZON_S * cost))
+    least = min(MAX_QUANTUM, int(team.due * QUANTUM_SHARE / cost))
+    return max(1, least, count)
 
 
 def localise(team, region_share):
--- a/turmericknot/dispatch/placement.py
+++ b/turmericknot/dispatch/placement.py
@@ -13,6 +13,7 @@
 FIT_SCAN = 32  # agents looked at in the scan; the next round starts elsewhere
 SLOWNESS_STEP = 0.05  # weight of the newest run-time ratio
 MAX_RATIO = 20.0  # one very slow task must not mark a worker for long
+CHOICE_PICKS = 8  # picks that share one choice of a failure domain, at most
 DOMAIN_SLACK = 1e-9
 
 
@@ -99,7 +100,17 @@
 class Placement:
     """Pools of agents by failure domain."""
 
-    __slots__ = ("own_domain", "domains", "windowed", "pick", "rng", "pooled")
+    __slots__ = (
+        "own_domain",
+        "domains",
+        "windowed",
+        "pick",
+        "rng",
+        "pooled",
+        "choice",
+        "choice_claimed",
+        "choice_left",
+    )
 
     def __init__(self, own_domain, policy, rng):
         self.own_domain = own_domain
@@ -107,6 +118,9 @@
         self.pick, self.windowed = POLICIES[policy]
         self.rng = rng
         self.pooled = 0  # agents in pools
+        self.choice = None  # pool chosen last, and for how many more picks
+        self.choice_claimed = False
+        self.choice_left = 0
 
 
 def domain_of(state, name):
@@ -133,10 +147,15 @@
     if wanted is not agent.pool:
         _leave_pool(state, agent)
         if wanted is not None:
-            agent.pool = wanted
-            agent.position = len(wanted)
-            wanted.append(agent)
-            state.pooled += 1
+            _enter_pool(state, agent, wanted)
+    state.choice_left = 0
+
+
+def _enter_pool(state, agent, pool):
+    agent.pool = pool
+    agent.position = len(pool)
+    pool.append(agent)
+    state.pooled += 1
 
 
 def remove(state, agent):
@@ -179,12 +198,15 @@
 def ended(state, agent, shape):
     """Return the slot and the resources of one task."""
     agent.running -= 1
-    if agent.open:
-        agent.domain.running -= 1
     if not shape.plain:
         _use(agent, shape, -1)
-    if agent.pool is None:
-        refresh(state, agent)
+    if not agent.open:
+        return
+    domain = agent.domain
+    domain.running -= 1
+    if agent.pool is None and agent.running < agent.window:
+        pool = domain.rostered if agent.rostered else domain.others
+        _enter_pool(state, agent, pool)
 
 
 def _use(agent, shape, count):
@@ -195,7 +217,9 @@
 
 def observe_run(agent, run_ms, estimate_ms):
     """Compare a run time with what the task takes on other workers."""
-    ratio = min(MAX_RATIO, run_ms / estimate_ms)
+    ratio = run_ms / estimate_ms
+    if ratio > MAX_RATIO:
+        ratio = MAX_RATIO
     agent.slowness += SLOWNESS_STEP * (ratio - agent.slowness)
 
 
@@ -212,7 +236,14 @@
 
 
 def choose_pool(state, claimed):
-    """Return the pool to place in: the own failure domain unless it is fuller."""
+    """Return the pool to place in: the own failure domain unless it is fuller.
+
+    The choice is kept for a few picks, because one pick hardly changes the shares.
+    """
+    pool = state.choice
+    if state.choice_left > 0 and pool and claimed == state.choice_claimed:
+        state.choice_left -= 1
+        return pool
     best = None
     best_share = -1.0
     for domain in state.domains.values():
@@ -221,11 +252,14 @@
             pool = domain.others
         if not pool:
             continue
-        share = (domain.window - domain.running) / max(1, domain.window)
+        share = (domain.window - domain.running) / (domain.window or 1)
         if domain.name == state.own_domain:
             share += DOMAIN_SLACK
         if share > best_share:
             best, best_share = pool, share
+    state.choice = best
+    state.choice_claimed = claimed
+    state.choice_left = min(CHOICE_PICKS, len(best) // CHOICE_PICKS) if best else 0
     return best
 
 
@@ -237,12 +271,15 @@
     agent = state.pick(state, pool, shape)
     if agent is None:
         return None
-    # A large batch is spread evenly over the agents that are free.
-    count = 1 + (count - 1) // state.pooled if state.windowed else 1
-    if state.windowed:
-        count = min(count, agent.window - agent.running)
-    if not shape.plain:
-        count = min(count, capacity(agent, shape))
+    if count > 1:
+        # A large batch is spread evenly over the agents that are free.
+        if state.windowed:
+            count = 1 + (count - 1) // state.pooled
+            count = min(count, agent.window - agent.running)
+        else:
+            count = 1
+        if not shape.plain:
+            count = min(count, capacity(agent, shape))
     return agent, count
 
 
@@ -260,7 +297,8 @@
     if size == 1:
         return first
     second = pool[int(random() * size)]
-    if _load(second) < _load(first):
+    # Inlined _load: this runs for every placed task.
+    if (second.running + 1) * second.slowness < (first.running + 1) * first.slowness:
         return second
     return first
 
--- a/turmericknot/dispatch/queues.py
+++ b/turmericknot/dispatch/queues.py
@@ -164,15 +164,22 @@
 
 
 def take(team, queue, lot, count):
-    """Remove and return the first ``count`` tasks of the head lot of a queue."""
+    """Remove and return the first ``count`` tasks of the head lot of a queue.
+
+    ``count`` is at most the number of tasks in the lot.
+    """
     indexes = lot.indexes
-    if count >= len(indexes):
+    if count == 1:
+        taken = [indexes.popleft()]
+    elif count >= len(indexes):
         taken = list(indexes)
         indexes.clear()
     else:
         pop = indexes.popleft
         taken = [pop() for _ in range(count)]
-    _account(team, queue, lot.job, len(taken))
+    queue.count -= count
+    lot.job.queued -= count
+    team.waiting -= count
     if not indexes:
         queue.lots.popleft()
         _close_if_empty(team, queue)
@@ -187,7 +194,10 @@
             continue
         queue = team.queues[key]
         dropped.extend(lot.indexes)
-        _account(team, queue, job, len(lot.indexes))
+        count = len(lot.indexes)
+        queue.count -= count
+        job.queued -= count
+        team.waiting -= count
         queue.lots.remove(lot)
         lot.indexes.clear()
         _close_if_empty(team, queue)
@@ -195,12 +205,6 @@
     return dropped
 
 
-def _account(team, queue, job, count):
-    queue.count -= count
-    job.queued -= count
-    team.waiting -= count
-
-
 def _close_if_empty(team, queue):
     if not queue.lots:
         del team.queues[queue.key]
--- a/turmericknot/dispatch/starts.py
+++ b/turmericknot/dispatch/starts.py
@@ -27,6 +27,7 @@
 def next_assignments(state, now):
     """Start all that may start now; return a list of Assignment."""
     assigned = {}
+    _requeue(state)
     _probe(state, assigned, now)
     fair = state.fair
     while state.placement.pooled:
@@ -41,6 +42,14 @@
     return list(assigned.values())
 
 
+def _requeue(state):
+    """Give teams whose tasks ended their new place, once for all of them."""
+    for team in state.ended:
+        if team.waiting:
+            fairshare.push(state.fair, team)
+    state.ended.clear()
+
+
 def unpark(state, reason):
     """Try the teams again that were set aside for this reason."""
     for team in state.parked.pop(reason, ()):
@@ -53,72 +62,81 @@
     blocked = CAPPED
     for queue in queues.in_order(team):
         shape = queue.shape
-        state.update_cost(shape)
-        long = state.is_long(shape.estimator)
+        if shape.cost_version != state.totals_version:
+            state.update_cost(shape)
         allowed = teams.room(team, shape)
-        if allowed > 0 and long:
+        long = state.is_long(shape.estimator)
+        if long and allowed > 0:
             allowed = min(allowed, state.long_room(now))
             blocked = LONG if allowed <= 0 else blocked
         if allowed <= 0:
             continue
-        allowed = min(allowed, fairshare.quantum(state.fair, team, shape.cost))
-        if _start_lot(state, team, queue, long, allowed, assigned, now):
+        lot = queue.lots[0]
+        allowed = min(allowed, len(lot.indexes))
+        if allowed > 1:
+            allowed = min(allowed, fairshare.quantum(state.fair, team, shape.cost))
+        if _start_lot(state, team, queue, lot, long, allowed, assigned, now):
             return None
         blocked = NO_FIT
     return blocked
 
 
-def _start_lot(state, team, queue, long, allowed, assigned, now):
-    """Place up to ``allowed`` tasks of a queue's first lot; return their number."""
-    lot = queue.lots[0]
-    left = min(allowed, len(lot.indexes))
-    total = 0
+def _start_lot(state, team, queue, lot, long, allowed, assigned, now):
+    """Place ``allowed`` tasks of a queue's first lot; return how many found room."""
+    shape = queue.shape
+    pools = state.placement
+    places = []
+    left = allowed
     while left > 0:
-        chosen = placement.place(state.placement, queue.shape, queue.claimed, left)
+        chosen = placement.place(pools, shape, queue.claimed, left)
         if chosen is None:
             break
         agent, count = chosen
-        _start(state, team, queue, lot, long, agent, count, assigned, now)
+        placement.started(pools, agent, shape, count)
+        places.append(chosen)
         left -= count
-        total += count
-    return total
+    if places:
+        _start(state, team, queue, lot, long, places, allowed - left, assigned, now)
+    return allowed - left
 
 
-def _start(state, team, queue, lot, long, agent, count, assigned, now):
-    """Send ``count`` tasks of a lot to an agent."""
+def _start(state, team, queue, lot, long, places, total, assigned, now):
+    """Send the first ``total`` tasks of a lot to the chosen agents."""
     job = lot.job
-    shape = queue.shape
-    indexes = queues.take(team, queue, lot, count)
-    state.waiting -= count
-    _account(state, team, agent, shape, count, now)
-    batch = Batch(team, shape, now, long, count)
+    indexes = queues.take(team, queue, lot, total)
+    job.started.update(indexes)
+    _account(state, team, queue.shape, total, now)
     if long:
-        state.long_running += count
-    else:
-        state.watched.append(batch)
+        state.long_running += total
     identifier = job.spec.job
-    tasks = agent.tasks
-    for index in indexes:
-        tasks[identifier, index] = batch
-    job.started.update(indexes)
-    place = (agent.stream, identifier)
-    known = assigned.get(place)
-    if known is None:
-        assigned[place] = placement.Assignment(
-            agent.stream, identifier, indexes, agent.window_sequence
-        )
-    else:
-        known.indexes.extend(indexes)
-
-
-def _account(state, team, agent, shape, count, now):
+    first = 0
+    for agent, count in places:
+        batch = Batch(team, queue.shape, now, long, count)
+        if not long:
+            state.watched.append(batch)
+        mine = indexes[first : first + count]
+        first += count
+        tasks = agent.tasks
+        for index in mine:
+            tasks[identifier, index] = batch
+        place = (agent.stream, identifier)
+        known = assigned.get(place)
+        if known is None:
+            assigned[place] = placement.Assignment(
+                agent.stream, identifier, mine, agent.window_sequence
+            )
+        else:
+            known.indexes.extend(mine)
+
+
+def _account(state, team, shape, count, now):
     fair = state.fair
     if team.virtual_time > fair.virtual_time:
         fair.virtual_time = team.virtual_time
     fairshare.settle(team, now)
     teams.started(team, shape, shape.estimator.mean, count)
     retries.started(team, count)
-    placement.started(state.placement, agent, shape, count)
+    state.waiting -= count
 
 
 def _probe(state, assigned, now):
@@ -138,7 +156,8 @@
             long = state.is_long(queue.shape.estimator)
             agent.health.probing = True
             lot = queue.lots[0]
-            _start(state, team, queue, lot, long, agent, 1, assigned, now)
+            placement.started(state.placement, agent, queue.shape, 1)
+            _start(state, team, queue, lot, long, [(agent, 1)], 1, assigned, now)
             return
 
 
@@ -166,8 +185,7 @@
             unpark(state, LONG)
     if not batch.shape.plain and NO_FIT in state.parked:
         unpark(state, NO_FIT)
-    if team.waiting:
-        fairshare.push(state.fair, team)
+    state.ended.add(team)
     return batch
 
 
--- a/turmericknot/dispatch/teams.py
+++ b/turmericknot/dispatch/teams.py
@@ -5,6 +5,8 @@
 DEFAULT_WEIGHT = 1.0
 RESOURCES = ("processors", "memory_mb", "accelerators")
 UNLIMITED = 1 << 30
+INFINITE = float("inf")
+EPSILON = 1e-9  # keeps rounding errors from costing a whole task
 DEFAULT_BUDGET_SHARE = 0.2  # returned tasks per started task that are retried at once
 
 
@@ -96,10 +98,9 @@
     team.budget_share = float(
         tree.get("retry", {}).get("budget_share", DEFAULT_BUDGET_SHARE)
     )
-    infinite = float("inf")
     team.cap = min(
-        float(tree.get("allowance", infinite)),
-        float(team.limits.get("max_running", infinite)),
+        float(tree.get("allowance", INFINITE)),
+        float(team.limits.get("max_running", INFINITE)),
     )
 
 
@@ -138,10 +139,12 @@
 
 def room(team, shape):
     """Return how many more tasks of a shape the team's limits let start here."""
-    count = (team.local_cap - team.running) / shape.cost
-    if not shape.plain:
-        count = min(count, _resource_room(team, shape))
-    return int(min(count, UNLIMITED) + 1e-9)
+    count = UNLIMITED
+    if team.local_cap != INFINITE:
+        count = int((team.local_cap - team.running) / shape.cost + EPSILON)
+    if not shape.plain and team.limits:
+        count = min(count, int(_resource_room(team, shape) + EPSILON))
+    return count
 
 
 def _resource_room(team, shape):
