Ask only as many agents for slots as the queue needs

Cause: an entry told every agent when work began to wait and when it ceased to, and results were acknowledged on every tick; most messages were overhead. Change: Demand goes to one agent per two waiting tasks, in rotation and with a back-off; an agent counts granted slots off the demand and drops the demand of an entry that leaves slots idle, so no message ends a demand. Acknowledgements leave once a second.

--- a/turmericknot/dispatch/agent_state.py
+++ b/turmericknot/dispatch/agent_state.py
@@ -136,6 +136,7 @@
 def update_windows(state, now):
     """Split the slots anew; return a Window for each entry whose part changed."""
     holders = [link.holder for link in state.links.values()]
+    windows.settle_demand(holders, now)
     windows.rebalance(usable_slots(state, now), holders, state.rng)
     out = []
     for link in state.links.values():
--- a/turmericknot/dispatch/demands.py
+++ b/turmericknot/dispatch/demands.py
@@ -1,41 +1,65 @@
-"""Tell agents when the entry begins or stops to have waiting work."""
+"""Ask agents for more slots when work waits."""
+
+from math import ceil
 
 from turmericknot.wire.messages import Demand
 
-DEMAND_END_S = 0.05  # demand must be gone this long before agents are told
+# An agent without idle slots remembers the demand, so asking again only makes up for
+# a demand that it dropped in the meantime; the pause doubles while nothing comes.
+ASK_AGAIN_S = 0.1
+ASK_AGAIN_LIMIT_S = 1.6
+# At 70% load an agent of 8 slots has more than two idle ones; asking every agent
+# for every short queue cost more messages than the tasks themselves.
+SLOTS_PER_AGENT = 2
+# Agents are asked in small groups, so that the first answers can end the demand.
+ASK_INTERVAL_S = 0.003
 
 
 def due(state, now):
-    """Return the Demand messages due now.
-
-    They are sent when the entry goes from no waiting work to waiting work or back;
-    all other changes travel with ``Assign``.
-    """
-    if state.waiting:
-        state.idle_since = None
-        if state.demanding:
-            return []
-        state.demanding = True
-        return _tell(state, _may_gain)
-    if not state.demanding:
+    """Return the Demand messages due now, to no more agents than the queue needs."""
+    if not state.waiting or now - state.asked_at < ASK_INTERVAL_S:
         return []
-    if state.idle_since is None:
-        state.idle_since = now
-    if now - state.idle_since < DEMAND_END_S:
+    wanted = ceil(state.waiting / SLOTS_PER_AGENT)
+    chosen = _choose(state, wanted, now)
+    if not chosen:
         return []
-    state.demanding = False
-    return _tell(state, lambda agent: agent.told_waiting)
+    state.asked_at = now
+    slots = ceil(state.waiting / len(chosen))
+    message = Demand(slots, state.entitlement)
+    for agent in chosen:
+        agent.asked_at = now
+        agent.ask_pause = min(2 * agent.ask_pause, ASK_AGAIN_LIMIT_S)
+    return [(agent.stream, message) for agent in chosen]
 
 
-def _may_gain(agent):
-    return agent.usable and not agent.told_waiting and agent.window < agent.slots
+def window_grew(agent):
+    """Allow the agent to be asked again soon: it has slots to give."""
+    agent.ask_pause = ASK_AGAIN_S
+
 
+def _choose(state, wanted, now):
+    """Return agents that may have idle slots of other entries, in rotation."""
+    ring = state.ask_ring
+    if len(ring) != len(state.agents):
+        ring.clear()
+        ring.extend(state.agents)
+    chosen = []
+    for _ in range(len(ring)):
+        if len(chosen) == wanted:
+            break
+        stream = ring[0]
+        ring.rotate(-1)
+        agent = state.agents.get(stream)
+        if agent is None:
+            ring.clear()
+            break
+        if agent.told:
+            agent.told = False
+            agent.asked_at = now
+        elif _may_gain(agent) and now - agent.asked_at >= agent.ask_pause:
+            chosen.append(agent)
+    return chosen
 
-def _tell(state, wanted):
-    message = Demand(state.waiting, state.entitlement)
-    told = []
-    for stream, agent in state.agents.items():
-        if wanted(agent):
-            agent.told_waiting = state.waiting > 0
-            told.append((stream, message))
-    return told
+
+def _may_gain(agent):
+    return agent.usable and agent.window < agent.slots
--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -94,7 +94,6 @@
 def _tick(state, event):
     appends.tick(state)
     liveness.tick(state)
-    answers.flush_acknowledgements(state)
     peers.send_digest(state)
     for job_id in state.policy.expired(state.scheduler, state.now):
         job = state.jobs.get(job_id)
@@ -106,6 +105,7 @@
 
 
 def _housekeeping(state):
+    answers.flush_acknowledgements(state)
     settings = state.settings.claims
     keep_s = settings.max_key_lifetime_s + settings.roster_ttl_s
     claims.drop_expired(state.table, state.wall, keep_s + settings.max_clock_skew_s)
--- a/turmericknot/dispatch/placement.py
+++ b/turmericknot/dispatch/placement.py
@@ -54,7 +54,9 @@
         "tasks",
         "slowness",
         "health",
-        "told_waiting",
+        "asked_at",
+        "ask_pause",
+        "told",
     )
 
     def __init__(self, stream, hello, domain):
@@ -81,7 +83,9 @@
         self.tasks = {}  # (job, index) -> Started
         self.slowness = 1.0  # run time over the estimate, smoothed
         self.health = Health()
-        self.told_waiting = False
+        self.asked_at = float("-inf")  # when more slots were asked for
+        self.ask_pause = 0.1
+        self.told = False  # an Assign carried the demand since
 
 
 class Domain:
--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -36,8 +36,8 @@
         "entitlement",
         "shares_at",
         "stepped_at",
-        "demanding",
-        "idle_since",
+        "asked_at",
+        "ask_ring",
     )
 
     def __init__(self, settings, rng):
@@ -73,8 +73,8 @@
         self.entitlement = 0.0
         self.shares_at = float("-inf")
         self.stepped_at = None
-        self.demanding = False
-        self.idle_since = None
+        self.asked_at = float("-inf")
+        self.ask_ring = deque()
 
     def is_long(self, estimator):
         """Tell whether an estimator's tasks count as long work at this entry."""
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -159,6 +159,8 @@
     agent = state.agents.get(stream)
     if agent is None or window.sequence < agent.window_sequence:
         return
+    if window.slots > agent.window:
+        demands.window_grew(agent)
     agent.window = window.slots
     agent.window_sequence = window.sequence
     placement.refresh(state.placement, agent)
@@ -311,8 +313,8 @@
 def waiting(state, stream):
     """Return the waiting tasks and the entitlement that an Assign carries."""
     agent = state.agents.get(stream)
-    if agent is not None:
-        agent.told_waiting = state.waiting > 0
+    if agent is not None and state.waiting:
+        agent.told = True
     return state.waiting, state.entitlement
 
 
--- a/turmericknot/dispatch/windows.py
+++ b/turmericknot/dispatch/windows.py
@@ -8,6 +8,9 @@
 
 # An entry that has not reported an entitlement yet still takes part in the split.
 MIN_WEIGHT = 1e-3
+# An entry with waiting work fills a slot within a round trip; one that leaves a slot
+# idle for longer has no waiting work any more.
+IDLE_GRACE_S = 0.02
 
 
 @dataclass(slots=True)
@@ -19,6 +22,7 @@
     busy: int = 0  # tasks of this entry that run or are queued here
     waiting: int = 0  # tasks that wait at the entry
     entitlement: float = 0.0
+    idle_since: float | None = None  # monotonic
 
     @property
     def idle(self):
@@ -27,8 +31,19 @@
 
     @property
     def wants_more(self):
-        """Return whether more work waits than the window has idle slots."""
-        return self.waiting > self.idle
+        """Return whether work waits that no slot has been granted for."""
+        return self.waiting > 0
+
+
+def settle_demand(holders, now):
+    """Drop the demand of entries that leave slots idle."""
+    for holder in holders:
+        if not holder.idle:
+            holder.idle_since = None
+        elif holder.idle_since is None:
+            holder.idle_since = now
+        elif now - holder.idle_since > IDLE_GRACE_S:
+            holder.waiting = 0
 
 
 def fair_windows(slots, holders):
@@ -87,7 +102,7 @@
     for _ in range(unallocated if holders else 0):
         claimants = [h for h in holders if h.wants_more] or holders
         neediest = min(claimants, key=lambda h: (_load(h), rng.random()))
-        neediest.window += 1
+        _grant(neediest)
 
 
 def _take_from_idle(holders, rng):
@@ -99,8 +114,7 @@
             return
         donor = max(donors, key=lambda h: (h.idle, rng.random()))
         claimant = min(claimants, key=lambda h: (_load(h), rng.random()))
-        donor.window -= 1
-        claimant.window += 1
+        _move_slot(donor, claimant)
 
 
 def _take_from_overserved(slots, holders, rng):
@@ -119,8 +133,18 @@
         )
         if donor is claimant:
             return
-        donor.window -= 1
-        claimant.window += 1
+        _move_slot(donor, claimant)
+
+
+def _move_slot(donor, claimant):
+    donor.window -= 1
+    _grant(claimant)
+
+
+def _grant(holder):
+    """Add a slot; it answers one waiting task, so no message has to end a demand."""
+    holder.window += 1
+    holder.waiting = max(0, holder.waiting - 1)
 
 
 def _load(holder):
