Let an agent take work again when its target returns

A target that left and announces itself again, as after an upgrade, was ignored for ever. Announcements within 3 s of the leaving are ignored, because one may have been under way.

--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -90,6 +90,18 @@
     assert any(isinstance(c, commands.Drained) for c in out)
 
 
+def test_target_that_returns_takes_work_again(driver):
+    """Guards against a worker that stays unused after an upgrade of its target."""
+    driver.announce()
+    driver.connect(1)
+    driver(events.TargetLeaving())
+    assert driver.announce() == [], "a late announcement undid the leaving"
+    assert driver.state.draining
+    driver.now += 5.0
+    assert commands.CloseStream(1, "worker changed") in driver.announce()
+    assert not driver.state.draining
+
+
 def test_lapsed_lease_is_unknown_and_keeps_the_id(driver, starts, sent):
     """Guards against a second start after a lease lapsed with its holder paused."""
     driver.announce()
--- a/tests/federation.py
+++ b/tests/federation.py
@@ -62,6 +62,7 @@
     link_addresses: dict = field(default_factory=dict)  # entry -> what peers dial
     log_url: str = ""
     relay_control: str = ""
+    left: set = field(default_factory=set)  # workers whose target announced leaving
 
     @property
     def entries(self):
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -78,6 +78,9 @@
         federation.relay("heal")
         federation.relay("delay 0")
     federation.set_log(**LOG_DEFAULTS)
+    for worker in federation.left:
+        federation.kill(worker)
+    federation.left.clear()
     for name, process in federation.processes.items():
         if not process.is_running:
             federation.start(name)
@@ -280,6 +283,7 @@
 
 @_action("target_leaves")
 def target_leaves(run, worker):
+    run.federation.left.add(worker)
     url = f"{run.federation.target_urls[worker]}/control/leave"
     run.federation.call("POST", url, {})
 
--- a/turmericknot/dispatch/agent.py
+++ b/turmericknot/dispatch/agent.py
@@ -32,6 +32,9 @@
 __all__ = ["create_agent_state", "handle", "hello", "status"]
 
 EXPIRE_INTERVAL_S = 1.0
+# An announcement that was under way when the target left must not undo the leaving.
+RETURN_AFTER_S = 3.0
+TARGET_LEAVING = "target_leaving"
 
 _handlers = {events.TaskFinished: finish_task}
 
@@ -54,6 +57,8 @@
 
 @_handles(events.TargetAnnounced)
 def _target_announced(state, event, now, wall):
+    if state.draining == TARGET_LEAVING and now - state.draining_at < RETURN_AFTER_S:
+        return []
     known = state.worker
     state.worker = Worker(
         event.worker,
@@ -68,18 +73,21 @@
         return [
             commands.DialEntry("", address) for address in state.settings.seed_entries
         ]
-    if _capacity(known) != _capacity(state.worker):
+    returned = state.draining == TARGET_LEAVING
+    if returned:
+        state.draining = ""
+        state.drained = False
+    if returned or _capacity(known) != _capacity(state.worker):
         # Entries learn the capacity from Hello, so every stream starts anew.
         return [
-            commands.CloseStream(stream, "worker capacity changed")
-            for stream in state.links
+            commands.CloseStream(stream, "worker changed") for stream in state.links
         ]
     return update_windows(state, now)
 
 
 @_handles(events.TargetLeaving)
 def _target_leaving(state, event, now, wall):
-    return _drain(state, "target_leaving", now)
+    return _drain(state, TARGET_LEAVING, now)
 
 
 @_handles(events.DrainRequested)
@@ -91,6 +99,7 @@
     if state.draining:
         return check_drained(state)
     state.draining = reason
+    state.draining_at = now
     out = [send(link, messages.Draining(reason), now) for link in links_of(state)]
     out += return_queued(state, lambda queued: True, reason, now)
     out += update_windows(state, now)
--- a/turmericknot/dispatch/agent_state.py
+++ b/turmericknot/dispatch/agent_state.py
@@ -74,6 +74,7 @@
     queue: deque = field(default_factory=deque)
     running: dict[tuple, RunningTask] = field(default_factory=dict)
     draining: str = ""
+    draining_at: float = 0.0
     drained: bool = False
     config_version: int = 0
     config_tree: bytes = b""
