Add a model of the network and the log that drives entries and agents

Change: tests/fuzz has the world, the actions, the oracle and random walks; claimed tasks of a broken stream are queued again only after the table was read past the inventory, and a takeover starts tasks only after that too, because an agent lists fenced jobs to the new owner alone.

--- /dev/null
+++ b/tests/fuzz/walk.py
@@ -0,0 +1,36 @@
+"""Random walks through the actions, for long runs and for fixed seeds."""
+
+import random
+
+from tests.fuzz.actions import ACTIONS
+from tests.fuzz.oracle import Violation
+from tests.fuzz.world import World
+
+SETTLE_S = 14.0  # longer than any deadline
+
+_actions = list(ACTIONS)
+_weights = list(ACTIONS.values())
+
+
+def walk(seed, steps=150, policy=None):
+    """Walk; return the world. Raise Violation with the seed and the step."""
+    rng = random.Random(seed)
+    world = World(seed) if policy is None else World(seed, policy)
+    try:
+        for action in rng.choices(_actions, _weights, k=steps):
+            world.step += 1
+            action(world, rng.randrange)
+        finish(world)
+    except Violation as violation:
+        text = f"seed {seed} step {world.step}: {violation}"
+        raise Violation(text) from None
+    return world
+
+
+def finish(world):
+    """Heal everything; every request at a living entry must then be answered."""
+    world.step += 1
+    world.heal()
+    world.settle(SETTLE_S)
+    if any(attempt.kind == "submit" for attempt in world.unanswered()):
+        raise Violation("a request was never answered")
--- a/turmericknot/dispatch/agents.py
+++ b/turmericknot/dispatch/agents.py
@@ -6,7 +6,9 @@
 from turmericknot.wire import messages
 from turmericknot.wire.messages import Assign, Welcome
 
-ROSTER_CHECK_S = 1.0
+# Stands for a stream that is gone: the scheduler takes back no slot.
+NO_STREAM = -1
+TIMER_SLACK_S = 1e-6
 
 
 def connected(state, event):
@@ -157,10 +159,11 @@
     """Take outcomes of tasks."""
     job = state.jobs.get(message.job)
     for result in message.results:
+        here = result.index in agent.sent.get(message.job, ())
         _forget_sent(agent, message.job, result.index)
         state.policy.task_done(
             state.scheduler,
-            agent.stream,
+            agent.stream if here else NO_STREAM,
             message.job,
             result.index,
             result.status,
@@ -193,14 +196,50 @@
 
 
 def _not_started(state, agent, job, job_id, indexes):
+    known = _unlocate(agent, job, job_id, indexes)
+    if known and job.phase is Phase.RUNNING:
+        _return(state, agent.stream, job, known)
+
+
+def _unlocate(agent, job, job_id, indexes):
+    """Forget where tasks are; return those that were thought to be at the agent."""
     known = []
     for index in indexes:
         _forget_sent(agent, job_id, index)
         if job is not None and job.located.get(index) == agent.incarnation:
             del job.located[index]
             known.append(index)
-    if known and job.phase is Phase.RUNNING:
-        _return(state, agent.stream, job, known)
+    return known
+
+
+def _requeue_lost(state, agent, job, indexes):
+    """Queue tasks again that were sent on a broken stream and did not start.
+
+    A fenced agent lists the job's tasks to the new owner and no longer here, so a
+    claimed task waits until the table shows that this entry still owns the job.
+    """
+    known = _unlocate(agent, job, job.id, indexes)
+    if not known or job.phase is not Phase.RUNNING:
+        return
+    if job.claimed:
+        state.unproven.append((state.now, job.id, known))
+        appends.read_now(state)
+    else:
+        _return(state, NO_STREAM, job, known)
+
+
+def requeue_proven(state):
+    """Queue the tasks whose jobs the table, now current, leaves to this entry."""
+    waiting, state.unproven = state.unproven, []
+    for entry in waiting:
+        since, job_id, indexes = entry
+        job = state.jobs.get(job_id)
+        if job is None or job.phase is not Phase.RUNNING:
+            continue
+        if state.current_as_of < since:
+            state.unproven.append(entry)
+        else:
+            _return(state, NO_STREAM, job, indexes)
 
 
 def rejected(state, agent, message):
@@ -238,7 +277,7 @@
             continue
         entry = listed.get(job_id)
         started = _started(entry) if entry is not None else set()
-        _not_started(state, agent, job, job_id, sorted(indexes - started))
+        _requeue_lost(state, agent, job, sorted(indexes - started))
         if job.phase is Phase.CANCELLING:
             cancellation.agent_back(state, job, agent)
 
@@ -274,9 +313,6 @@
         return
 
 
-TIMER_SLACK_S = 1e-6
-
-
 def draining(state, agent, message):
     """The agent leaves: it gets no more work."""
     state.policy.agent_draining(state.scheduler, agent.stream, state.now)
--- a/turmericknot/dispatch/claims.py
+++ b/turmericknot/dispatch/claims.py
@@ -12,9 +12,6 @@
 # Claims stay in the table this long after their key's expiry, so that a key that
 # expired a moment ago can still be told from one that was never claimed.
 EXPIRED_CLAIM_GRACE_S = 30.0
-# Records of a wholly fenced owner are void for this long; not above roster_ttl,
-# for which an entry must have read the log before it starts anything again.
-FENCED_OWNER_VOID_S = 120.0
 
 
 class Record(msgspec.Struct, array_like=True, frozen=True):
@@ -88,6 +85,9 @@
 class ClaimTable:
     """Owners of jobs, fenced owners and the roster of agents."""
 
+    # Records of a wholly fenced owner are void for this long: roster_ttl, for which
+    # an entry must have read the log before it starts a task of another's claim.
+    void_s: float
     jobs: dict[bytes, Ownership] = field(default_factory=dict)
     owned: dict[str, set[bytes]] = field(default_factory=dict)
     fenced: dict[str, float] = field(default_factory=dict)  # whole owner -> log time
@@ -151,7 +151,7 @@
     later record of its own, so it acts on none of them.
     """
     fenced_at = table.fenced.get(owner)
-    return fenced_at is not None and time - fenced_at <= FENCED_OWNER_VOID_S
+    return fenced_at is not None and time - fenced_at <= table.void_s
 
 
 def _move(table, job, owner):
--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -37,7 +37,8 @@
     ``policy`` holds the functions listed in ``scheduler.py``.
     """
     scheduler = policy.create_scheduler(settings, rng)
-    state = EntryState(settings, address, rng, policy, scheduler, is_home)
+    table = claims.ClaimTable(settings.claims.roster_ttl_s)
+    state = EntryState(settings, address, rng, policy, scheduler, is_home, table)
     state.tokens = settings.claims.append_budget_per_s
     return state
 
@@ -242,9 +243,12 @@
     state.current_as_of = max(state.current_as_of, event.asked_at)
     state.clock_error_s = state.wall - event.log_time
     appends.read_back_done(state, event.asked_at)
+    agents.requeue_proven(state)
     for job in list(state.jobs.values()):
         if job.phase is Phase.REFUSING and state.current_as_of >= job.arrived:
             submissions.table_is_current(state, job)
+        elif job.phase is Phase.INVENTORY:
+            takeover.resolve(state, job)
 
 
 def _read_failed(state, event):
--- a/turmericknot/dispatch/entry_state.py
+++ b/turmericknot/dispatch/entry_state.py
@@ -63,6 +63,7 @@
     formers: list[str] = field(default_factory=list)
     missing: set[tuple[str, str]] = field(default_factory=set)  # agent, former owner
     provable: bool = True  # the roster of the old owner's agents is known
+    inventoried_at: float = 0.0  # when the last inventory came
     recalling: set[str] = field(default_factory=set)
     answer: Answer | None = None
     final: bool = True  # a refusal that is not final is forgotten
@@ -124,6 +125,7 @@
     policy: ModuleType | Any  # the functions listed in scheduler.py
     scheduler: Any
     is_home: Any  # is_home(state, incarnation) -> bool
+    table: ClaimTable
     now: float = 0.0
     wall: float = 0.0
     commands: list = field(default_factory=list)
@@ -132,7 +134,6 @@
     agent_streams: dict[int, Agent] = field(default_factory=dict)
     peers: dict[str, Peer] = field(default_factory=dict)  # by incarnation
     peer_streams: dict[int, Peer] = field(default_factory=dict)
-    table: ClaimTable = field(default_factory=ClaimTable)
     # Appends.
     appends: dict[bytes, PendingAppend] = field(default_factory=dict)
     claim_queue: list[bytes] = field(default_factory=list)
@@ -151,6 +152,9 @@
     # Takeover, cancellation, answers.
     fences: list[IssuedFence] = field(default_factory=list)
     new_fences: list[IssuedFence] = field(default_factory=list)
+    # Tasks that did not start, until the table proves that the job is still owned:
+    # (time from which the table must be current, job, indexes).
+    unproven: list[tuple[float, bytes, list[int]]] = field(default_factory=list)
     recalls: dict[int, tuple[str, list[bytes]]] = field(default_factory=dict)
     locates: dict[int, bytes] = field(default_factory=dict)
     awaits: dict[int, bytes] = field(default_factory=dict)
--- a/turmericknot/dispatch/ownership.py
+++ b/turmericknot/dispatch/ownership.py
@@ -37,6 +37,8 @@
     if job.spec is None:
         job.final = False
         answers.end(state, job, JobStatus.UNKNOWN, Reason.NOT_FOUND)
+    elif job.refusal is not None and job.refusal.reason is not Reason.LOG_UNAVAILABLE:
+        _own_refused(state, job, record)
     elif record.formers:
         takeover.won(state, job, record)
     elif job.cancelled:
@@ -48,6 +50,14 @@
         run(state, job, range(len(job.spec.tasks)))
 
 
+def _own_refused(state, job, record):
+    """End a job that this entry owns and does not want to run."""
+    if job.cancelled and not record.formers:
+        cancellation.end_cancelled(state, job)
+    else:
+        _give_up(state, job)
+
+
 def run(state, job, indexes):
     """Queue tasks that certainly have not started."""
     enter(state, job, Phase.RUNNING)
--- a/turmericknot/dispatch/submissions.py
+++ b/turmericknot/dispatch/submissions.py
@@ -32,7 +32,18 @@
         return
     join(state, job, event.request)
     if job.spec is None and job.phase is not Phase.ENDED:
-        job.spec = spec
+        _add_spec(state, job, spec)
+
+
+def _add_spec(state, job, spec):
+    """Turn a job that was only asked for into a submitted one."""
+    job.spec = spec
+    job.deadline = _deadline(state, spec)
+    wake(state, job.deadline, job)
+    if job.phase is Phase.REFUSING:
+        job.refusal = None
+        job.arrived = state.now
+        _accept(state, job)
 
 
 def join(state, job, request):
@@ -63,16 +74,23 @@
 
 
 def _create_job(state, spec, request):
-    claims = state.settings.claims
-    # A job ends before its key expires, so that no start lies behind the expiry.
-    key_s = spec.expires_at - claims.max_clock_skew_s - state.wall
-    deadline = state.now + min(spec.deadline_s, max(0.0, key_s))
+    deadline = _deadline(state, spec)
     job = Job(spec.job, state.now, deadline, spec.expires_at, spec)
     job.requests.append(request)
     _register(state, job)
     return job
 
 
+def _deadline(state, spec):
+    """Return when the job ends at the latest (monotonic).
+
+    A job ends before its key expires, so that no start lies behind the expiry.
+    """
+    claims = state.settings.claims
+    key_s = spec.expires_at - claims.max_clock_skew_s - state.wall
+    return state.now + min(spec.deadline_s, max(0.0, key_s))
+
+
 def _register(state, job):
     job.since = state.now
     state.jobs[job.id] = job
--- a/turmericknot/dispatch/takeover.py
+++ b/turmericknot/dispatch/takeover.py
@@ -35,7 +35,7 @@
     # must not move tasks between two of the inventories.
     for former in job.formers:
         state.new_fences.append(IssuedFence(former, [job.id], until))
-    _resolve(state, job)
+    resolve(state, job)
 
 
 def flush_fences(state):
@@ -81,8 +81,9 @@
             continue
         if job_id in listed:
             _take(state, job, agent, listed[job_id])
+        job.inventoried_at = state.now
         job.missing.discard((agent.incarnation, message.owner))
-        _resolve(state, job)
+        resolve(state, job)
 
 
 def _take(state, job, agent, entry):
@@ -111,13 +112,18 @@
     return [i for i in total if i not in job.outcomes and i not in job.located]
 
 
-def _resolve(state, job):
+def resolve(state, job):
     """Go on once nothing is open: start only what provably did not start."""
     if job.phase is not Phase.INVENTORY:
         return
     unresolved = _unresolved(job)
     if unresolved and (job.missing or not job.provable):
         return
+    if unresolved and state.current_as_of < job.inventoried_at:
+        # An agent that follows a newer fence no longer lists the job for this
+        # entry. That fence lies in the log by now.
+        appends.read_now(state)
+        return
     if job.cancelled:
         cancellation.start(state, job)
     else:
