Make refusals and expired keys contradict no run elsewhere

Change: a refusal is never kept; an entry that has not read the log counts its peers as incomplete; the deadline is checked before the phase's time-out.

--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -20,8 +20,8 @@
 from turmericknot.dispatch.tasks import JobStatus, Reason
 
 HOUSEKEEPING_S = 1.0
-# A follower gives the owner this long past the deadline to say how the job ended.
-FOLLOW_GRACE_S = 0.5
+# Other entries and the log get this long past the deadline to say what they know.
+ASKING_GRACE_S = 0.5
 
 
 def home_of_all(state, incarnation):
@@ -120,6 +120,8 @@
 
 
 def _check_job(state, job):
+    if state.now >= job.deadline and _deadline_passed(state, job):
+        return
     waited = state.now - job.since + agents.TIMER_SLACK_S
     timeout = TIMEOUTS.get(job.phase)
     if timeout is not None:
@@ -128,8 +130,6 @@
             handler(state, job)
     if job.phase in ownership.WORKING:
         agents.check_lost(state, job)
-    if job.phase is not Phase.ENDED and state.now >= job.deadline:
-        _deadline_passed(state, job)
 
 
 def _refusing_timed_out(state, job):
@@ -156,17 +156,22 @@
 
 
 def _deadline_passed(state, job):
-    """End a job at its deadline; only its owner may say that it failed."""
+    """End a job at its deadline; return False when it is given some more time.
+
+    Only the owner may say that it failed; who asks others gives them a moment.
+    """
     if job.phase in (Phase.CLAIMING, Phase.RUNNING):
+        job.final = job.phase is Phase.RUNNING
         answers.end(state, job, JobStatus.FAILED, Reason.DEADLINE_EXCEEDED)
-    elif job.phase is Phase.FOLLOWING:
-        if state.now < job.deadline + FOLLOW_GRACE_S:
-            heapq.heappush(state.timers, (job.deadline + FOLLOW_GRACE_S, job.id))
-            return
-        job.final = False
-        answers.end(state, job, JobStatus.UNKNOWN, Reason.OWNER_UNREACHABLE)
     elif job.phase in (Phase.FENCING, Phase.INVENTORY, Phase.CANCELLING):
         answers.end(state, job, JobStatus.UNKNOWN, Reason.MAY_HAVE_STARTED)
+    elif state.now < job.deadline + ASKING_GRACE_S:
+        heapq.heappush(state.timers, (job.deadline + ASKING_GRACE_S, job.id))
+        return False
+    else:
+        job.final = False
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.OWNER_UNREACHABLE)
+    return True
 
 
 def _drain(state, event):
--- a/turmericknot/dispatch/peers.py
+++ b/turmericknot/dispatch/peers.py
@@ -176,11 +176,15 @@
 
 
 def forget_gone(state):
-    """Forget incarnations too old to have run a job whose key is alive."""
+    """Forget incarnations too old to have run a job whose key is alive.
+
+    Only while the log is read: without it a living peer's presence is not seen.
+    """
     claims = state.settings.claims
+    readable = state.now - state.current_as_of < claims.presence_refresh_s
     oldest = state.wall - claims.max_key_lifetime_s - 2 * claims.max_clock_skew_s
     for peer in list(state.peers.values()):
         if peer.stream is not None:
             peer.seen = state.wall
-        elif peer.seen < oldest:
+        elif readable and peer.seen < oldest:
             del state.peers[peer.address.incarnation]
--- a/turmericknot/dispatch/submissions.py
+++ b/turmericknot/dispatch/submissions.py
@@ -175,15 +175,15 @@
 def locate(state, job):
     """Ask every known entry whether it runs the job."""
     job.unanswered = set()
-    job.peers_complete = True
-    oldest = state.wall - state.settings.claims.max_key_lifetime_s
+    # An entry that never read the log to its end may not know of some peers.
+    job.peers_complete = state.current_as_of > float("-inf")
     for peer in state.peers.values():
         if peer.stream is not None:
             request = new_request(state)
             state.locates[request] = job.id
             job.unanswered.add(request)
             send(state, peer.stream, LocateJob(request, job.id))
-        elif peer.seen >= oldest:
+        else:
             # It may have started tasks of the job before it was lost.
             job.peers_complete = False
     phase = Phase.LOCATING if job.phase is Phase.LOCATING else Phase.REFUSING
@@ -219,12 +219,16 @@
 
 
 def conclude_refusal(state, job):
-    """Answer the refusal; it is final only when a claim may be in the log."""
+    """Answer the refusal and forget the job.
+
+    A claim that still lands then names an owner that started nothing and starts
+    nothing unless the caller submits the job once more.
+    """
     refusal = job.refusal
     status = JobStatus.NOT_RUN
     if refusal.reason is Reason.NOT_FOUND:
         status = JobStatus.UNKNOWN
-    job.final = bool(job.claim_record) and job.spec is not None
+    job.final = False
     answers.end(
         state, job, status, refusal.reason, refusal.detail, refusal.retry_after_s
     )
@@ -235,7 +239,7 @@
     reason = Reason.LOG_UNAVAILABLE
     if job.refusal.reason in (Reason.KEY_EXPIRED, Reason.NOT_FOUND):
         reason = job.refusal.reason
-    job.final = bool(job.claim_record) and job.spec is not None
+    job.final = False
     answers.end(state, job, JobStatus.UNKNOWN, reason, job.refusal.detail)
 
 
