--- a/tests/fuzz/actions.py
+++ b/tests/fuzz/actions.py
@@ -1,5 +1,7 @@
 """What can happen: each action takes the world and ``draw(n)``, a number below n."""
 
+from turmericknot.dispatch import events
+
 JOB_LIMIT = 6
 
 
@@ -89,6 +91,11 @@
     world.advance((0.001, 0.02, 0.11, 0.3, 0.6, 2.2)[draw(6)])
 
 
+def sleep(world, draw):
+    """Let a good part of a key's lifetime pass."""
+    world.advance(9.0)
+
+
 def connect(world, draw):
     nodes = world.nodes
     acceptor = _pick(world.entries, draw)
@@ -156,8 +163,6 @@
 
 
 def drain(world, draw):
-    from turmericknot.dispatch import events
-
     world.feed(_pick(world.nodes, draw), events.DrainRequested())
 
 
@@ -175,6 +180,7 @@
     finish: 4,
     fail_task: 1,
     advance: 8,
+    sleep: 1,
     connect: 4,
     connect_all: 4,
     break_link: 3,
--- /dev/null
+++ b/tests/fuzz/knockouts.py
@@ -0,0 +1,155 @@
+"""Mechanisms taken out one by one, to show that the oracle notices.
+
+Each function takes ``patch(owner, name, replacement)``.
+"""
+
+from collections import deque
+
+from turmericknot.dispatch import (
+    agent_messages,
+    agents,
+    appends,
+    cancellation,
+    ownership,
+    results,
+    submissions,
+    takeover,
+)
+from turmericknot.dispatch.entry_state import Phase
+from turmericknot.wire.messages import Inventory
+
+
+def fencing(patch):
+    """A new owner asks no agent and takes it that none has started anything."""
+
+    def pretend(state, agent, fence):
+        agent.fence_replies.setdefault(fence.owner, deque()).append(fence.jobs)
+        takeover.inventory(state, agent, Inventory(fence.owner, agent.incarnation, []))
+
+    patch(takeover, "_send_fence", pretend)
+
+
+def claim(patch):
+    """An entry runs a job at once, without asking the log."""
+    patch(appends, "queue_claim", _run)
+
+
+def _run(state, job):
+    ownership.run(state, job, range(len(job.spec.tasks)))
+
+
+def read_back(patch):
+    """An entry takes a lost answer to its append for a won claim."""
+    failed = appends.append_failed
+
+    def on_failure(state, event):
+        pending = state.appends.get(event.record)
+        failed(state, event)
+        for job_id in pending.jobs if pending and event.written is None else ():
+            job = state.jobs.get(job_id)
+            if job is not None and job.phase is Phase.CLAIMING:
+                _run(state, job)
+
+    patch(appends, "append_failed", on_failure)
+
+
+def expiry(patch):
+    """Entries and agents take work whose key has expired."""
+    check = submissions._check
+
+    def lenient(state, spec):
+        refusal = check(state, spec)
+        late = refusal is not None and refusal.reason == "key_expired"
+        return None if late else refusal
+
+    patch(submissions, "_check", lenient)
+    patch(submissions, "_deadline", lambda state, spec: state.now + spec.deadline_s)
+    patch(agents, "_may_send", lambda state, job, agent: agent.rostered)
+    patch(agent_messages, "_refusal", lambda state, message, wall: "")
+
+
+def result_retention(patch):
+    """An agent forgets a task as soon as it has finished."""
+    finish = results.ResultStore.finish
+
+    def forget(store, job, result, now):
+        record = finish(store, job, result, now)
+        if record is not None:
+            record.results.clear()
+        return record
+
+    patch(results.ResultStore, "finish", forget)
+
+
+def roster(patch):
+    """A takeover waits for no agent that it is not connected to."""
+    patch(takeover, "agents_of_claim", lambda table, job, ttl_s: set())
+
+
+def refusal_check(patch):
+    """A refusal is answered without asking the log or the peers."""
+
+    def refuse(state, job, refusal):
+        job.refusal = refusal
+        submissions.conclude_refusal(state, job)
+
+    patch(submissions, "refuse", refuse)
+
+
+def recall_confirmation(patch):
+    """A cancel is acknowledged when the recalls have been sent."""
+    start = cancellation.start
+
+    def hasty(state, job):
+        start(state, job)
+        if job.phase is Phase.CANCELLING:
+            job.recalling.clear()
+            cancellation._check(state, job)
+
+    patch(cancellation, "start", hasty)
+
+
+def inventory_check(patch):
+    """A task sent on a broken stream is taken for not started."""
+
+    def leave(state, agent, message):
+        agents.reconcile(state, agent, {})
+
+    patch(agents, "inventory", leave)
+    patch(agents, "MESSAGES", agents.MESSAGES | {Inventory: leave})
+
+
+def table_after_inventory(patch):
+    """Tasks absent from an inventory start before the table is read again."""
+    requeue = agents._requeue_lost
+    resolve = takeover.resolve
+
+    def at_once(state, agent, job, indexes):
+        requeue(state, agent, job, indexes)
+        state.current_as_of, known = state.now, state.current_as_of
+        agents.requeue_proven(state)
+        state.current_as_of = known
+
+    def unread(state, job):
+        job.inventoried_at = float("-inf")
+        resolve(state, job)
+
+    patch(agents, "_requeue_lost", at_once)
+    patch(takeover, "resolve", unread)
+
+
+KNOCKOUTS = {
+    function.__name__: function
+    for function in (
+        fencing,
+        claim,
+        read_back,
+        expiry,
+        result_retention,
+        roster,
+        refusal_check,
+        recall_confirmation,
+        inventory_check,
+        table_after_inventory,
+    )
+}
--- a/turmericknot/dispatch/agents.py
+++ b/turmericknot/dispatch/agents.py
@@ -218,14 +218,24 @@
     A fenced agent lists the job's tasks to the new owner and no longer here, so a
     claimed task waits until the table shows that this entry still owns the job.
     """
-    known = _unlocate(agent, job, job.id, indexes)
-    if not known or job.phase is not Phase.RUNNING:
+    if job.spec is not None and job.spec.idempotent:
+        _doubt_absent(state, agent, job, indexes)
         return
-    if job.claimed:
+    known = _unlocate(agent, job, job.id, indexes)
+    if known and job.phase is Phase.RUNNING:
         state.unproven.append((state.now, job.id, known))
         appends.read_now(state)
-    else:
-        _return(state, NO_STREAM, job, known)
+
+
+def _doubt_absent(state, agent, job, indexes):
+    """End an idempotent job whose inventory lacks a task that was sent.
+
+    The job may run unclaimed at another entry too, and an agent lists all tasks of
+    a job to the first entry that sent any. So absence proves nothing.
+    """
+    held = {i for i in indexes if job.located.get(i) == agent.incarnation}
+    if held and job.phase in ownership.WORKING:
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.WORKER_LOST)
 
 
 def requeue_proven(state):
