--- a/turmericknot/dispatch/cancellation.py
+++ b/turmericknot/dispatch/cancellation.py
@@ -6,7 +6,9 @@
 from turmericknot.dispatch.tasks import JobStatus, Reason
 from turmericknot.wire.messages import CancelJob
 
-CANCELLED = Refusal(Reason.CANCELLED, "cancelled by the caller")
+# Without a decided claim another attempt may still claim the job and start it, so
+# the caller is not told that the job is cancelled.
+UNDECIDED = Refusal(Reason.LOG_UNAVAILABLE, "the claim was not decided")
 
 
 def cancelled(state, event):
@@ -51,7 +53,7 @@
 
 def refuse_cancelled(state, job):
     """Cancel a job whose claim was not decided, unless it runs elsewhere."""
-    submissions.refuse(state, job, CANCELLED)
+    submissions.refuse(state, job, UNDECIDED)
 
 
 def start(state, job):
--- a/turmericknot/dispatch/submissions.py
+++ b/turmericknot/dispatch/submissions.py
@@ -149,13 +149,12 @@
     """No claim of the job lay in the log when it arrived."""
     if job.id in state.table.jobs:
         ownership.decided(state, job)
-    elif _may_run_unclaimed(job):
-        if not job.unanswered:
-            locate(state, job)
-    elif _table_reaches_back(state, job):
-        conclude_refusal(state, job)
-    else:
+    elif not _table_reaches_back(state, job):
         _answer_unknown(state, job)
+    elif not _may_run_unclaimed(job):
+        conclude_refusal(state, job)
+    elif not job.unanswered:
+        locate(state, job)
 
 
 def _may_run_unclaimed(job):
@@ -166,12 +165,18 @@
 def _table_reaches_back(state, job):
     """Return False when a claim of the job may have left the table."""
     claims = state.settings.claims
-    if state.wall > job.expires_at + EXPIRED_CLAIM_GRACE_S - claims.max_clock_skew_s:
+    if not _is_remembered(state, job):
         return False
     first = job.expires_at - claims.max_key_lifetime_s - 2 * claims.max_clock_skew_s
     return state.table.covered_from <= first
 
 
+def _is_remembered(state, job):
+    """Return False when this entry and others may have forgotten the job."""
+    skew_s = 2 * state.settings.claims.max_clock_skew_s
+    return state.wall <= job.expires_at + EXPIRED_CLAIM_GRACE_S - skew_s
+
+
 def locate(state, job):
     """Ask every known entry whether it runs the job."""
     job.unanswered = set()
@@ -212,7 +217,7 @@
     job.unanswered = set()
     if job.phase is Phase.LOCATING:
         ownership.run_unclaimed(state, job)
-    elif answered:
+    elif answered and _is_remembered(state, job):
         conclude_refusal(state, job)
     else:
         _answer_unknown(state, job)
