Write acknowledged cancels to the log

Cause: the hypothesis machine found a takeover, by an attempt that waited at another entry, of a job whose owner died after acknowledging its cancel. Change: record Cancel on stream claims; the owner acknowledges after it has read the record back, a later owner ends the job as cancelled.

--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -10,7 +10,6 @@
 from turmericknot.conf.schema import AgentSettings, ClaimSettings, EntrySettings
 from turmericknot.core import ids
 from turmericknot.dispatch import agent, commands, entry, events
-from turmericknot.dispatch.entry_state import Phase
 from turmericknot.dispatch.tasks import JobSpec, Task
 from turmericknot.wire import messages
 
@@ -144,6 +143,8 @@
                 handler(self, node, command)
 
     def _send(self, node, command):
+        if isinstance(command.message, messages.Assign):
+            self._note_unclaimed(node, command.message.job)
         link = self.links.get(command.stream)
         if link is None or link.broken:
             return
@@ -151,6 +152,10 @@
         if receiver.name in link.queues:
             link.queues[receiver.name].append(command.message)
 
+    def _note_unclaimed(self, node, job):
+        if not node.state.jobs[job].claimed:
+            self.oracle.unclaimed.add(job)
+
     def _close(self, node, command):
         link = self.links.get(command.stream)
         if link is not None:
@@ -169,18 +174,9 @@
 
     def _start_task(self, node, command):
         owner = node.state.running[(command.job, command.task.index)].owner
-        self._note_unclaimed(command.job, owner)
         self.oracle.started(command.job, command.task.index, owner, self.step)
         node.running.append((command.job, command.task.index))
 
-    def _note_unclaimed(self, job_id, owner):
-        for node in self.entries:
-            if node.incarnation != owner or node.state is None:
-                continue
-            job = node.state.jobs.get(job_id)
-            if job is not None and not job.claimed:
-                self.oracle.unclaimed.add(job_id)
-
     def _stop_task(self, node, command):
         if (command.job, command.index) in node.running:
             self.finish(node, node.running.index((command.job, command.index)), 3)
@@ -430,6 +426,3 @@
             for attempt in self.oracle.attempts.values()
             if attempt.answer is None and attempt.entry in alive
         ]
-
-
-__all__ = ["Phase", "World"]
--- a/turmericknot/dispatch/appends.py
+++ b/turmericknot/dispatch/appends.py
@@ -2,6 +2,7 @@
 
 from turmericknot.dispatch.claims import (
     STREAM,
+    Cancel,
     Claim,
     Fence,
     Presence,
@@ -39,9 +40,15 @@
     flush(state)
 
 
+def queue_cancel(state, job):
+    """Have the cancel of an owned job written down for later owners."""
+    state.cancel_queue.append(job.id)
+    flush(state)
+
+
 def flush(state):
     """Append what waits, unless the group commit's window is still open."""
-    if not (state.claim_queue or state.fence_queue or state.roster_queue):
+    if not _is_waiting(state):
         return
     _refill(state)
     if state.tokens < 1.0 or state.now < state.last_flush + _window(state):
@@ -49,12 +56,13 @@
     state.last_flush = state.now
     _append_claims(state)
     _append_fences(state)
+    _append_cancels(state)
     _append_roster(state)
 
 
 def next_flush(state):
     """Return when waiting records may be appended, or None."""
-    if not (state.claim_queue or state.fence_queue or state.roster_queue):
+    if not _is_waiting(state):
         return None
     _refill(state)
     lacking = max(0.0, 1.0 - state.tokens)
@@ -62,6 +70,16 @@
     return max(budget_at, state.last_flush + _window(state))
 
 
+def _is_waiting(state):
+    queues = (
+        state.claim_queue,
+        state.fence_queue,
+        state.cancel_queue,
+        state.roster_queue,
+    )
+    return any(queues)
+
+
 def _refill(state):
     budget = state.settings.claims.append_budget_per_s
     elapsed = max(0.0, state.now - state.tokens_at)
@@ -112,6 +130,13 @@
     state.fence_queue.clear()
 
 
+def _append_cancels(state):
+    jobs = list(state.cancel_queue)
+    state.cancel_queue.clear()
+    if jobs:
+        _append(state, "cancel", Cancel(new_record(state), state.me, jobs), jobs)
+
+
 def _append_roster(state):
     agents = sorted(state.roster_queue)
     state.roster_queue.clear()
@@ -185,7 +210,7 @@
     """Queue what a record that was not written asked for; sent on a later tick."""
     if pending.kind == "claim":
         state.claim_queue.extend(job.id for job in _jobs_of(state, pending))
-    elif pending.kind == "fence":
+    elif pending.kind in ("fence", "cancel"):
         state.appends[pending.record] = pending
         pending.uncertain_since = state.now
     elif pending.kind == "roster":
--- a/turmericknot/dispatch/cancellation.py
+++ b/turmericknot/dispatch/cancellation.py
@@ -1,6 +1,6 @@
 """Cancels: acknowledged only when no agent can start anything of the job."""
 
-from turmericknot.dispatch import answers, submissions
+from turmericknot.dispatch import answers, appends, submissions
 from turmericknot.dispatch.entry_state import Phase, enter, new_request, send
 from turmericknot.dispatch.scheduler import Refusal
 from turmericknot.dispatch.tasks import JobStatus, Reason
@@ -63,9 +63,17 @@
     job.recalling = set(job.located.values())
     for incarnation in job.recalling:
         answers.recall(state, state.agents.get(incarnation), job)
+    if job.claimed:
+        appends.queue_cancel(state, job)
     _check(state, job)
 
 
+def recorded(state, job):
+    """The log holds the cancel."""
+    if job.phase is Phase.CANCELLING:
+        _check(state, job)
+
+
 def recall_done(state, agent, message):
     """An agent confirmed that it will start nothing more of these jobs."""
     _, jobs = state.recalls.pop(message.request, ("", []))
@@ -90,10 +98,20 @@
 
 
 def _check(state, job):
-    if not job.recalling:
+    if not job.recalling and _is_recorded(state, job):
         end_cancelled(state, job)
 
 
+def _is_recorded(state, job):
+    """Return True when a later owner will know of the cancel.
+
+    Another entry may have an attempt that waits, and take the job over should this
+    entry die after the acknowledgement.
+    """
+    record = state.table.jobs.get(job.id)
+    return not job.claimed or (record is not None and record.cancelled)
+
+
 def end_cancelled(state, job):
     """End a job of which nothing more can start."""
     ran = job.may_have_started or job.outcomes or job.located
--- a/turmericknot/dispatch/claims.py
+++ b/turmericknot/dispatch/claims.py
@@ -54,8 +54,16 @@
     agents: list[str]
 
 
+class Cancel(Record, tag=5):
+    """Cancel jobs of an owner, for whoever takes them over later."""
+
+    record: bytes
+    owner: str
+    jobs: list[bytes]
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Claim | Fence | Presence | Roster)
+_decoder = msgspec.msgpack.Decoder(Claim | Fence | Presence | Roster | Cancel)
 
 
 def encode_record(record):
@@ -79,6 +87,7 @@
     claimed_at: float  # log time of the first claim
     expires_at: float
     formers: list[str] = field(default_factory=list)
+    cancelled: bool = False
 
 
 @dataclass(slots=True)
@@ -162,6 +171,15 @@
     ownership.owner = owner
 
 
+def apply_cancel(table, cancel):
+    """Mark the jobs that the canceller still owns; return them."""
+    owned = table.owned.get(cancel.owner, set())
+    jobs = [job for job in cancel.jobs if job in owned]
+    for job in jobs:
+        table.jobs[job].cancelled = True
+    return jobs
+
+
 def apply_roster(table, roster, time):
     """Put agents on the roster, or refresh them."""
     for agent in roster.agents:
--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -226,6 +226,13 @@
         ownership.incarnation_fenced(state)
 
 
+def _cancel_read(state, record, time):
+    for job_id in claims.apply_cancel(state.table, record):
+        job = state.jobs.get(job_id)
+        if job is not None:
+            cancellation.recorded(state, job)
+
+
 def _presence_read(state, record, time):
     peers.presence_read(state, record)
 
@@ -240,6 +247,7 @@
     claims.Fence: _fence_read,
     claims.Presence: _presence_read,
     claims.Roster: _roster_read,
+    claims.Cancel: _cancel_read,
 }
 
 
--- a/turmericknot/dispatch/entry_state.py
+++ b/turmericknot/dispatch/entry_state.py
@@ -138,6 +138,7 @@
     appends: dict[bytes, PendingAppend] = field(default_factory=dict)
     claim_queue: list[bytes] = field(default_factory=list)
     fence_queue: dict[str, list[bytes]] = field(default_factory=dict)
+    cancel_queue: list[bytes] = field(default_factory=list)
     roster_queue: set[str] = field(default_factory=set)
     tokens: float = 0.0
     tokens_at: float = 0.0
--- a/turmericknot/dispatch/ownership.py
+++ b/turmericknot/dispatch/ownership.py
@@ -42,7 +42,7 @@
     elif record.formers:
         takeover.won(state, job, record)
     elif job.cancelled:
-        cancellation.end_cancelled(state, job)
+        cancellation.start(state, job)
     elif state.now >= job.deadline:
         answers.end(state, job, JobStatus.FAILED, Reason.DEADLINE_EXCEEDED)
     else:
@@ -53,7 +53,7 @@
 def _own_refused(state, job, record):
     """End a job that this entry owns and does not want to run."""
     if job.cancelled and not record.formers:
-        cancellation.end_cancelled(state, job)
+        cancellation.start(state, job)
     else:
         _give_up(state, job)
 
--- a/turmericknot/dispatch/takeover.py
+++ b/turmericknot/dispatch/takeover.py
@@ -35,6 +35,9 @@
     # must not move tasks between two of the inventories.
     for former in job.formers:
         state.new_fences.append(IssuedFence(former, [job.id], until))
+    if record.cancelled:
+        answers.end(state, job, JobStatus.FAILED, Reason.CANCELLED)
+        return
     resolve(state, job)
 
 
