--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests.dispatch.site import Site
 from turmericknot.conf.schema import AgentSettings
 from turmericknot.dispatch import agent, commands, events
 from turmericknot.wire import messages
@@ -76,3 +77,9 @@
         return [c.task.index for c in out if isinstance(c, commands.StartTask)]
 
     return pick
+
+
+@pytest.fixture
+def create_site():
+    """Return the class of a scheduler with agents that grant it every slot."""
+    return Site
