--- a/turmericknot/dispatch/agents.py
+++ b/turmericknot/dispatch/agents.py
@@ -13,7 +13,9 @@
 from turmericknot.wire import messages
 from turmericknot.wire.messages import Assign, Welcome
 
-ROSTER_CHECK_S = 1.0
+# Stands for a stream that is gone: the scheduler takes back no slot.
+NO_STREAM = -1
+TIMER_SLACK_S = 1e-6
 
 
 def connected(state, event):
@@ -168,10 +170,11 @@
     """Take outcomes of tasks."""
     job = state.jobs.get(message.job)
     for result in message.results:
+        here = result.index in agent.sent.get(message.job, ())
         _forget_sent(agent, message.job, result.index)
         state.policy.task_done(
             state.scheduler,
-            agent.stream,
+            agent.stream if here else NO_STREAM,
             message.job,
             result.index,
             result.status,
@@ -204,14 +207,60 @@
 
 
 def _not_started(state, agent, job, job_id, indexes):
+    known = _unlocate(agent, job, job_id, indexes)
+    if known and job.phase is Phase.RUNNING:
+        _return(state, agent.stream, job, known)
+
+
+def _unlocate(agent, job, job_id, indexes):
+    """Forget where tasks are; return those that were thought to be at the agent."""
     known = []
     for index in indexes:
         _forget_sent(agent, job_id, index)
         if job is not None and job.located.get(index) == agent.incarnation:
             del job.located[index]
             known.append(index)
+    return known
+
+
+def _requeue_lost(state, agent, job, indexes):
+    """Queue tasks again that were sent on a broken stream and did not start.
+
+    A fenced agent lists the job's tasks to the new owner and no longer here, so a
+    claimed task waits until the table shows that this entry still owns the job.
+    """
+    if job.spec is not None and job.spec.idempotent:
+        _doubt_absent(state, agent, job, indexes)
+        return
+    known = _unlocate(agent, job, job.id, indexes)
     if known and job.phase is Phase.RUNNING:
-        _return(state, agent.stream, job, known)
+        state.unproven.append((state.now, job.id, known))
+        appends.read_now(state)
+
+
+def _doubt_absent(state, agent, job, indexes):
+    """End an idempotent job whose inventory lacks a task that was sent.
+
+    The job may run unclaimed at another entry too, and an agent lists all tasks of
+    a job to the first entry that sent any. So absence proves nothing.
+    """
+    held = {i for i in indexes if job.located.get(i) == agent.incarnation}
+    if held and job.phase in ownership.WORKING:
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.WORKER_LOST)
+
+
+def requeue_proven(state):
+    """Queue the tasks whose jobs the table, now current, leaves to this entry."""
+    waiting, state.unproven = state.unproven, []
+    for entry in waiting:
+        since, job_id, indexes = entry
+        job = state.jobs.get(job_id)
+        if job is None or job.phase is not Phase.RUNNING:
+            continue
+        if state.current_as_of < since:
+            state.unproven.append(entry)
+        else:
+            _return(state, NO_STREAM, job, indexes)
 
 
 def rejected(state, agent, message):
@@ -249,7 +298,7 @@
             continue
         entry = listed.get(job_id)
         started = _started(entry) if entry is not None else set()
-        _not_started(state, agent, job, job_id, sorted(indexes - started))
+        _requeue_lost(state, agent, job, sorted(indexes - started))
         if job.phase is Phase.CANCELLING:
             cancellation.agent_back(state, job, agent)
 
@@ -285,9 +334,6 @@
         return
 
 
-TIMER_SLACK_S = 1e-6
-
-
 def draining(state, agent, message):
     """The agent leaves: it gets no more work."""
     agent.draining = True
