Add the configuration tree: merge, follower, files, publish, commands

Cause: teams and allowances must be the same at every process. Conclusion: a stateful test against a model of accepted records passes; publishing and the commands are not covered by tests yet.

--- /dev/null
+++ b/tests/configtree/test_merge_machine.py
@@ -0,0 +1,217 @@
+"""The merge against a model that keeps one ordered list of accepted records."""
+
+import copy
+import random
+
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from turmericknot.configtree.follower import (
+    create_follower,
+    export_copy,
+    offset_trimmed,
+    page_read,
+    peer_copy,
+    snapshot_due,
+    take_change,
+)
+from turmericknot.configtree.records import (
+    Change,
+    InvalidRecord,
+    decode,
+    encode,
+    touched,
+)
+from turmericknot.platform.log_client import LogPage, LogRecord
+
+TEAMS = ("a", "b")
+PROCESSES = 4
+RETENTION_S = 1000.0
+
+processes = st.integers(0, PROCESSES - 1)
+keys = st.sampled_from(["allowance", "weight", "limits.max_running", "deadline_s"])
+# 0 is invalid for weight and deadline_s, -1 for all, "x" for all.
+values = st.sampled_from([0, 1, 2, 3, -1, "x"])
+paths = st.builds(lambda t, k: f"teams.{t}.{k}", st.sampled_from(TEAMS), keys)
+sets = st.dictionaries(paths, values, max_size=3)
+deletes = st.lists(st.one_of(paths, st.sampled_from(["teams.a", "defaults"])))
+
+
+class Model:
+    """Oracle: the accepted changes in order and the tree after each."""
+
+    def __init__(self):
+        self.accepted = {0: {}}  # version -> {path: value}
+        self.newest = {}  # subtree -> version of its last accepted change
+        self.version = 0
+
+    def add(self, offset, change):
+        if any(self.newest.get(name, 0) > change.base for name in touched(change)):
+            return
+        if change.base > self.version or not (change.sets or change.deletes):
+            return
+        flat = dict(self.accepted[self.version])
+        for path in change.deletes:
+            flat = {p: v for p, v in flat.items() if not f"{p}.".startswith(f"{path}.")}
+        flat |= change.sets
+        if not all(self.valid(path, value) for path, value in change.sets.items()):
+            return
+        self.version = offset + 1
+        self.accepted[self.version] = flat
+        self.newest |= dict.fromkeys(touched(change), self.version)
+
+    @staticmethod
+    def valid(path, value):
+        positive = path.endswith(("weight", "deadline_s"))
+        return isinstance(value, int) and value >= (1 if positive else 0)
+
+
+def flatten(tree, prefix=""):
+    """Return the leaves of a tree by path."""
+    flat = {}
+    for key, value in tree.items():
+        if isinstance(value, dict):
+            flat |= flatten(value, f"{prefix}{key}.")
+        else:
+            flat[f"{prefix}{key}"] = value
+    return flat
+
+
+class MergeMachine(RuleBasedStateMachine):
+    """Operators, processes and a log that trims, fails and loses answers."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def start(self, seed):
+        self.rng = random.Random(seed)
+        self.log, self.first, self.now = [], 0, 0.0
+        self.model = Model()
+        self.log_down = False
+        self.followers = [create_follower(self.rng) for _ in range(PROCESSES)]
+        self.in_force = [(0, {})] * PROCESSES
+        self.sent = []
+
+    def append(self, data):
+        self.log.append((self.now, data))
+        record = decode_or_none(data)
+        if isinstance(record, Change):
+            self.model.add(len(self.log) - 1, record)
+
+    def read(self, process, limit=1000):
+        follower = self.followers[process]
+        if follower.next_offset < self.first:
+            offset_trimmed(follower, self.first)
+        start = follower.next_offset
+        records = [
+            LogRecord(offset, *self.log[offset])
+            for offset in range(start, min(len(self.log), start + limit))
+        ]
+        page_read(follower, LogPage(self.first, len(self.log), self.now, 0.0, records))
+        self.take(process)
+
+    def take(self, process):
+        taken = take_change(self.followers[process])
+        if taken is None:
+            return
+        version, tree = taken
+        assert version > self.in_force[process][0], "a version went back"
+        self.in_force[process] = (version, copy.deepcopy(tree))
+
+    def write_snapshot(self, process):
+        follower = self.followers[process]
+        data = snapshot_due(follower, self.now, RETENTION_S, self.rng.randbytes(12))
+        if data is not None:
+            self.append(data)
+
+    @rule(process=processes, sets=sets, deletes=deletes, copies=st.integers(1, 2))
+    def publish(self, process, sets, deletes, copies):
+        """An operator sees what one process has; a lost answer makes two copies."""
+        base = self.followers[process].merge.version
+        record_id = self.rng.randbytes(12)
+        data = encode(Change(record_id, base, "operator", sets, deletes))
+        self.sent.append(data)
+        for _ in range(copies):
+            self.append(data)
+
+    @rule(data=st.binary(max_size=5))
+    def write_garbage(self, data):
+        self.append(data)
+
+    @rule()
+    def late_copy(self):
+        """An append whose answer was lost takes effect much later."""
+        if self.sent:
+            self.append(self.rng.choice(self.sent))
+
+    @rule(process=processes, limit=st.integers(1, 5))
+    def read_some(self, process, limit):
+        if not self.log_down:
+            self.read(process, limit)
+
+    @rule(down=st.booleans())
+    def set_log(self, down):
+        self.log_down = down
+
+    @rule(seconds=st.sampled_from([1.0, 100.0, 400.0]))
+    def pass_time(self, seconds):
+        """Let processes that can read keep the snapshot young, then trim."""
+        self.now += seconds
+        if not self.log_down:
+            for process in range(0, PROCESSES, 2):  # the others are paused
+                self.read(process)
+                self.write_snapshot(process)
+        while self.first < len(self.log):
+            if self.log[self.first][0] >= self.now - RETENTION_S:
+                break
+            self.first += 1
+
+    @rule(writers=st.lists(processes, min_size=2, unique=True))
+    def several_snapshots(self, writers):
+        """Several processes believe at once that a snapshot is due."""
+        for process in writers:
+            follower = self.followers[process]
+            follower.snapshot_time, follower.asked_snapshot_at = None, float("-inf")
+            self.write_snapshot(process)
+
+    @rule(giver=processes, taker=processes)
+    def copy_from_peer(self, giver, taker):
+        data = export_copy(self.followers[giver])
+        if data is not None:
+            peer_copy(self.followers[taker], data)
+            self.take(taker)
+
+    @rule(process=processes)
+    def restart(self, process):
+        self.followers[process] = create_follower(self.rng)
+        self.in_force[process] = (0, {})
+
+    @invariant()
+    def in_force_is_a_version_of_the_model(self):
+        for version, tree in getattr(self, "in_force", []):
+            assert flatten(tree) == self.model.accepted[version]
+
+    def teardown(self):
+        """Whoever reads the stream to its end holds the newest version."""
+        if not hasattr(self, "log"):
+            return
+        for process, follower in enumerate(self.followers):
+            self.read(process)
+            if follower.complete:
+                assert self.in_force[process][0] == self.model.version
+                assert follower.merge.subtree_versions == self.model.newest
+
+
+def decode_or_none(data):
+    try:
+        return decode(data)
+    except InvalidRecord:
+        return None
+
+
+MergeMachine.TestCase.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestMerge = MergeMachine.TestCase
--- /dev/null
+++ b/turmericknot/management/commands/config.py
@@ -0,0 +1,247 @@
+"""Sub-commands of ``config``; each returns a CommandResult."""
+
+import functools
+import getpass
+import random
+import time
+from dataclasses import dataclass
+
+import tomli_w
+
+from turmericknot.configtree.files import (
+    find_edit,
+    load_base,
+    load_directory,
+    write_base,
+    write_subtrees,
+)
+from turmericknot.configtree.publish import (
+    PUBLISH_TIMEOUT_S,
+    WAIT_TIMEOUT_S,
+    PublishStatus,
+    StreamReader,
+    create_change,
+    publish as publish_record,
+    wait_in_force,
+)
+from turmericknot.configtree.records import Change, Restore, touched
+from turmericknot.configtree.schema import suggest
+from turmericknot.configtree.tree import (
+    Verdict,
+    conflicts,
+    get_subtree,
+    subtrees_of,
+)
+from turmericknot.core.exceptions import TurmericknotError
+from turmericknot.core.ids import record_id
+from turmericknot.platform.log_client import create_log_client
+
+# Exit codes.
+OK = 0
+FAILED = 1  # not published, or the answer is an error
+CONFLICT = 2
+UNKNOWN = 3  # the change may still take effect
+NOT_IN_FORCE = 4  # published, but not reported by every process in time
+
+
+@dataclass(slots=True)
+class CommandResult:
+    """Text for the operator and the exit code."""
+
+    text: str
+    code: int = OK
+
+
+def _reports_errors(command):
+    """Turn the project's errors into a result."""
+
+    @functools.wraps(command)  # fire shows the signature of the command
+    def run(*args, **kwargs):
+        try:
+            return command(*args, **kwargs)
+        except TurmericknotError as error:
+            return CommandResult(f"error: {error}", FAILED)
+
+    return run
+
+
+@_reports_errors
+def check(directory):
+    """Check the files of a directory without the log."""
+    tree, problems = load_directory(directory)
+    lines = [str(problem) for problem in problems]
+    if _errors(problems):
+        return CommandResult("\n".join(lines), FAILED)
+    lines.append(f"{len(tree['teams'])} teams, no errors")
+    return CommandResult("\n".join(lines))
+
+
+@_reports_errors
+def diff(directory, log_url):
+    """Show what publishing the directory would change."""
+    _, edit, _ = _prepare(directory, log_url)
+    lines = [str(difference) for difference in edit.differences]
+    lines += [f"  {name} was changed by others, not here" for name in edit.stale]
+    return CommandResult("\n".join(lines) or "no difference")
+
+
+@_reports_errors
+def publish(
+    directory,
+    log_url,
+    author="",
+    comment="",
+    wait=False,
+    entries="",
+    restore=False,
+    timeout_s=PUBLISH_TIMEOUT_S,
+    wait_timeout_s=WAIT_TIMEOUT_S,
+):
+    """Publish the edited files; with ``wait`` until they are in force everywhere.
+
+    ``entries`` lists the entries to ask, http://ip:port separated by commas.
+    ``restore`` puts the whole directory in force when the log has lost its content.
+    """
+    urls = _split(entries)
+    if wait and not urls:
+        return CommandResult("error: --wait needs --entries", FAILED)
+    problems = load_directory(directory)[1]
+    if _errors(problems):
+        return CommandResult("\n".join(str(p) for p in problems), FAILED)
+    reader, edit, files = _prepare(directory, log_url, lost=restore)
+    author = author or getpass.getuser()
+    if restore:
+        record = Restore(_record_id(), author, files, comment)
+    elif not edit.differences:
+        _accept_files(directory, reader)
+        return CommandResult(f"nothing to publish; in force: {_version(reader)}")
+    else:
+        record = create_change(edit, _record_id(), author, comment)
+        if conflicts(reader.state.merge, record):
+            return _conflict(reader, edit, [])
+    result = publish_record(reader, record, timeout_s)
+    if result.status is PublishStatus.CONFLICT:
+        return _conflict(reader, edit, result.theirs)
+    if result.status is not PublishStatus.ACCEPTED:
+        code = UNKNOWN if result.status is PublishStatus.UNKNOWN else FAILED
+        return CommandResult(f"{result.status}: {result.reason}", code)
+    _accept_files(directory, reader)
+    text = f"published version {result.version}"
+    return _wait(urls, result.version, wait_timeout_s, text) if wait else _ok(text)
+
+
+@_reports_errors
+def show(log_url, at=None, team=None):
+    """Show the tree in force, or the one of version ``at``, as TOML."""
+    reader = StreamReader(create_log_client(log_url))
+    reader.read(limit=at)
+    _require_complete(reader)
+    merge = reader.state.merge
+    if at is not None and reader.state.next_offset < at:
+        return CommandResult(f"error: there is no version {at} yet", FAILED)
+    tree = merge.tree
+    if team is not None:
+        tree = get_subtree(tree, f"teams.{team}")
+        if tree is None:
+            hint = suggest(team, merge.tree.get("teams", {}))
+            return CommandResult(f"error: no team {team!r} ({hint})", FAILED)
+    return CommandResult(f"# version {merge.version}\n{tomli_w.dumps(tree)}")
+
+
+@_reports_errors
+def history(log_url, count=20):
+    """Show the newest records of the stream with their verdicts."""
+    reader = StreamReader(create_log_client(log_url))
+    reader.read()
+    newest = list(reader.state.history)[-count:]
+    return CommandResult("\n".join(_history_line(o) for o in newest) or "no records")
+
+
+def _prepare(directory, log_url, lost=False):
+    """Return a reader at the end of the stream, the Edit and the files' tree."""
+    files, _ = load_directory(directory)
+    reader = StreamReader(create_log_client(log_url))
+    reader.read()
+    if lost == reader.state.complete:
+        if lost:
+            raise TurmericknotError("the log holds a configuration; publish normally")
+        _require_complete(reader)
+    edit = find_edit(files, load_base(directory), reader.state.merge)
+    return reader, edit, files
+
+
+def _require_complete(reader):
+    if not reader.state.complete:
+        raise TurmericknotError(
+            "the log holds no snapshot from which to read this version; "
+            "if no process has a configuration, use publish --restore"
+        )
+
+
+def _accept_files(directory, reader):
+    """Bring files that others changed up to date and note the base.
+
+    Every edit in the files has been published by now, so that a file that differs is
+    older than the log.
+    """
+    tree = reader.state.merge.tree
+    files, _ = load_directory(directory)
+    names = subtrees_of(tree).keys() | subtrees_of(files).keys()
+    different = [n for n in names if get_subtree(files, n) != get_subtree(tree, n)]
+    write_subtrees(directory, tree, sorted(different))
+    write_base(directory, reader.state.merge)
+
+
+def _conflict(reader, edit, theirs):
+    lines = [f"conflict: changed by others after version {edit.base}"]
+    names = set(edit.edited)
+    for outcome in reader.state.history:
+        newer = outcome.verdict is Verdict.ACCEPTED and outcome.version > edit.base
+        if newer and names & set(touched(outcome.record)):
+            lines.append(f"  {_history_line(outcome)}")
+    lines += [f"  theirs {difference}" for difference in theirs]
+    lines += [f"  yours  {difference}" for difference in edit.differences]
+    return CommandResult("\n".join(lines), CONFLICT)
+
+
+def _history_line(outcome):
+    at = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(outcome.time))
+    record = outcome.record
+    line = f"{outcome.offset + 1} {at} {outcome.verdict}"
+    if record is not None:
+        line += f" by {record.author or '-'}"
+    if isinstance(record, Change):
+        line += f" base {record.base}: {' '.join((*record.sets, *record.deletes))}"
+        line += f" ({record.comment})" if record.comment else ""
+    return f"{line} [{outcome.reason}]" if outcome.reason else line
+
+
+def _wait(urls, version, timeout_s, text):
+    lagging = wait_in_force(urls, version, timeout_s)
+    if not lagging:
+        return _ok(f"{text}, in force at {len(urls)} entries and their agents")
+    lines = [f"{text}, not yet in force:"]
+    lines += [f"  {url}: {reason}" for url, reason in lagging.items()]
+    return CommandResult("\n".join(lines), NOT_IN_FORCE)
+
+
+def _ok(text):
+    return CommandResult(text)
+
+
+def _version(reader):
+    return f"version {reader.state.merge.version}"
+
+
+def _errors(problems):
+    return [problem for problem in problems if not problem.warning]
+
+
+def _split(entries):
+    if isinstance(entries, str):
+        entries = entries.split(",")
+    return [url.strip().rstrip("/") for url in entries if url.strip()]
+
+
+def _record_id():
+    return record_id(random.SystemRandom())
