--- a/tests/configtree/test_merge_machine.py
+++ b/tests/configtree/test_merge_machine.py
@@ -164,6 +164,12 @@
                 break
             self.first += 1
 
+    @rule(part=st.integers(1, 4))
+    def trim(self, part):
+        """The log may drop any prefix, also one that ends between a snapshot and the
+        records that it covers."""
+        self.first += (len(self.log) - self.first) // part
+
     @rule(writers=st.lists(processes, min_size=2, unique=True))
     def several_snapshots(self, writers):
         """Several processes believe at once that a snapshot is due."""
