Share teams evenly between entries

Change: an entry's part of a team follows its demand up to the team's share, plus a correction by what the team lacks in all entries; slots held now outweigh past usage; digests carry the largest changes first within a byte budget, large ones early.

--- a/turmericknot/dispatch/fairshare.py
+++ b/turmericknot/dispatch/fairshare.py
@@ -11,10 +11,11 @@
 
 from .teams import UNLIMITED
 
-HORIZON_S = 1.0  # seconds of present use that a new start competes against
+HORIZON_S = 30.0  # 1.0 let old usage outweigh the slots held now
 SETTLE_INTERVAL_S = 0.05  # virtual times older than this are brought up to date
 QUANTUM_SHARE = 0.125  # part of its due slots that a team starts at once
 MAX_QUANTUM = 4
+CORRECTION = 1.5  # 0.5 is slow; 2.0 overshoots with tasks of several seconds
 MIN_SHARE = 0.01  # of its weight that a team keeps at an entry it is new to
 COMPACT_SLACK = 512  # void places kept before the heap is compacted
 INFINITY = float("inf")
@@ -135,15 +136,18 @@
     return max(1, least, count)
 
 
-def localise(team, region_share):
+def localise(fair, team, region_share):
     """Split a team's weight and allowance between this entry and its peers.
 
     The split follows demand, so that a team gets the same total whether its jobs
-    arrive at one entry or at all of them.
+    arrive at one entry or at all of them. An entry's demand counts up to the team's
+    whole share only: queue lengths change faster than running tasks end.
     """
-    own = team.running_tasks + team.waiting
+    limit = max(1.0, fair.level * team.weight)
+    own = min(limit, team.running_tasks + team.waiting)
+    others = sum(min(limit, sum(load)) for load in team.peers.values())
+    share = own / (own + others) if own and others else 1.0
     peers = team.peer_running + team.peer_waiting
-    share = own / (own + peers) if own and peers else 1.0
     cap = team.cap * region_share
     team.local_share = share
     team.local_weight = team.weight * max(share, MIN_SHARE)
@@ -160,7 +164,7 @@
     """
     demands = []
     for team in teams:
-        localise(team, region_share)
+        localise(fair, team, region_share)
         demand = team.running + team.waiting + team.peer_running + team.peer_waiting
         demand = min(demand, team.cap * region_share)
         team.due = 0.0
@@ -176,11 +180,30 @@
         due = demand if level <= fair.level else fair.level * team.weight
         left -= due
         weights -= team.weight
-        team.due = due * team.local_share
-        total += team.due
+        if team.waiting or team.running_tasks:
+            team.due = due * team.local_share
     fair.spare = max(0.0, left)
+    for _, _, team in demands:
+        if team.peers and team.waiting:
+            _correct(fair, team)
+        total += team.due
     return total
 
 
+def _correct(fair, team):
+    """Let this entry make good a part of what the team lacks in all entries.
+
+    Splitting a team's weight by demand alone leaves the total off by what the
+    entries' numbers of slots differ from the sum of their teams' parts.
+    """
+    fair_slots = min(fair.level * team.weight, team.cap)
+    lacking = fair_slots - team.running - team.peer_running
+    target = team.local_share * (fair_slots + CORRECTION * lacking)
+    target = min(fair_slots, max(target, MIN_SHARE * fair_slots))
+    if fair.level > 0:
+        team.local_weight = target / fair.level
+    team.due = min(target, team.running + team.waiting)
+
+
 def _level_of(entry):
     return entry[0]
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -24,7 +24,7 @@
 from .placement import Assignment
 from .policystate import SchedulerState
 
-SHARES_INTERVAL_S = 0.1  # shares and caps of all teams are computed this often
+SHARES_INTERVAL_S = 0.05  # shares and caps of all teams are computed this often
 STEP_INTERVAL_S = 0.05  # periodic work: long tasks, deferred retries, parked teams
 FORGET_AFTER_S = 60.0  # past its deadline a job that nobody removed is dropped
 
@@ -91,7 +91,7 @@
     state.waiting += len(indexes)
     if idle:
         share = usage.region_share(state.usage, now)
-        fairshare.localise(team, share)
+        fairshare.localise(state.fair, team, share)
         fairshare.activate(state.fair, team, now)
         fairshare.push(state.fair, team)
 
@@ -346,14 +346,21 @@
 
 def peer_digest(state, peer, digest, now):
     """Take over the load that another entry reports."""
+    known = list(state.teams.values())
     usage.peer_digest(
-        state.usage, state.fair, lambda name: _team(state, name), peer, digest, now
+        state.usage,
+        state.fair,
+        known,
+        lambda name: _team(state, name),
+        peer,
+        digest,
+        now,
     )
 
 
 def peer_lost(state, peer, now):
     """Forget the load of an entry that is gone or out of reach."""
-    usage.peer_lost(state.usage, lambda name: _team(state, name), peer)
+    usage.peer_lost(state.usage, peer)
     state.shares_at = float("-inf")
 
 
--- a/turmericknot/dispatch/teams.py
+++ b/turmericknot/dispatch/teams.py
@@ -40,6 +40,7 @@
         "local_cap",
         "due",
         "heap_sequence",
+        "peers",
         "peer_running",
         "peer_waiting",
         "told",
@@ -64,6 +65,7 @@
         self.settled_at = 0.0
         self.due = 0.0  # slots due to this entry for the team
         self.heap_sequence = 0
+        self.peers = {}  # peer -> (running, waiting)
         self.peer_running = 0
         self.peer_waiting = 0
         self.told = (0, 0)  # running and waiting in the last digest
--- a/turmericknot/dispatch/usage.py
+++ b/turmericknot/dispatch/usage.py
@@ -1,5 +1,8 @@
 """Load of teams at the other entries, and what a partition leaves of it."""
 
+from heapq import nlargest
+from operator import itemgetter
+
 from turmericknot.wire.messages import TeamDigest, TeamUsage
 
 from . import fairshare
@@ -7,19 +10,20 @@
 BYTES_PER_USAGE = 16.0  # encoded TeamUsage: a name of about 10 bytes and two counts
 FRAME_BYTES = 24.0  # frame, tag, sequence and slots of a digest
 DIGEST_BYTES_PER_S = 3000.0  # a third of the control budget of 9 KB/s per node
-FULL_DIGEST_S = 10.0  # interval after which unchanged teams are repeated
-CHANGE_SHARE = 0.1  # smaller changes of a count are not worth a message
+URGENT_S = 0.04  # shortest interval between two digests
+URGENT_SHARE = 0.25  # change of a team's load, over its share, that is urgent
+URGENT_RESERVE = 0.3  # part of the budget that is kept for the regular digests
 MAX_LATENESS_S = 3.0  # detection time: no digest is later than this
 SEEN_FOR_S = 60.0  # a region that shrinks counts as smaller after this time
 
 
 class Peer:
-    """Last known load of the teams at another entry."""
+    """Another entry whose digests arrive."""
 
     __slots__ = ("teams", "updated_at")
 
     def __init__(self, now):
-        self.teams = {}
+        self.teams = set()  # that it has reported
         self.updated_at = now
 
 
@@ -37,14 +41,15 @@
 class Usage:
     """What this entry knows of the others and has told them."""
 
-    __slots__ = ("peers", "regions", "sequence", "next_at", "full_at")
+    __slots__ = ("peers", "regions", "sequence", "sent_at", "checked_at", "budget")
 
     def __init__(self):
         self.peers = {}
         self.regions = {}
         self.sequence = 0
-        self.next_at = 0.0
-        self.full_at = 0.0
+        self.sent_at = float("-inf")
+        self.budget = 0.0  # bytes that may be sent beyond the steady rate
+        self.checked_at = float("-inf")
 
 
 def region_changed(usage, name, slots, now):
@@ -78,33 +83,46 @@
 def digest(usage, teams, slots, interval_s, now):
     """Return the TeamDigest that is due, or None.
 
-    The interval grows with the size of a digest and the number of peers, so that
-    the digests keep within their part of the control budget.
+    A digest is as large as the control budget allows with the present number of
+    peers; the teams whose load changed most go first. A large change is reported
+    before the interval is over, as far as the budget has something left.
     """
-    if now < usage.next_at:
+    if now - usage.checked_at < min(URGENT_S, interval_s):
         return None
-    full = now >= usage.full_at
-    changed = [_told(team) for team in teams if _is_news(team, full)]
-    if not changed and not full:
+    usage.checked_at = now
+    changed = [(_change(team), team) for team in teams]
+    changed = [entry for entry in changed if entry[0] > 0]
+    since = now - usage.sent_at
+    budget = min(DIGEST_BYTES_PER_S, usage.budget + DIGEST_BYTES_PER_S * since)
+    if since < interval_s:
+        reserved = budget < DIGEST_BYTES_PER_S * URGENT_RESERVE
+        if reserved or not any(_is_urgent(*entry) for entry in changed):
+            return None
+    peers = max(1, len(usage.peers))
+    count = int((budget / peers - FRAME_BYTES) / BYTES_PER_USAGE)
+    if count < 1 or not changed and usage.sequence:
         return None
-    size = FRAME_BYTES + BYTES_PER_USAGE * len(changed)
-    budget_s = size * max(1, len(usage.peers)) / DIGEST_BYTES_PER_S
-    usage.next_at = now + max(interval_s, budget_s)
-    if full:
-        usage.full_at = now + FULL_DIGEST_S
+    changed = nlargest(count, changed, key=itemgetter(0))
+    usage.budget = budget - peers * (FRAME_BYTES + BYTES_PER_USAGE * len(changed))
+    usage.sent_at = now
     usage.sequence += 1
-    return TeamDigest(usage.sequence, slots, changed)
+    return TeamDigest(usage.sequence, slots, [_told(team) for _, team in changed])
 
 
-def _is_news(team, full):
-    running, waiting = team.told
-    if full:
-        return bool(team.running_tasks or team.waiting or running or waiting)
-    return _changed(running, team.running_tasks) or _changed(waiting, team.waiting)
+def _is_urgent(change, team):
+    return change > URGENT_SHARE * max(1.0, team.due)
 
 
-def _changed(told, count):
-    return abs(count - told) > CHANGE_SHARE * told or (count == 0) != (told == 0)
+def _change(team):
+    """Return how much a team's load differs from what the peers know."""
+    running, waiting = team.told
+    change = abs(team.running_tasks - running)
+    if team.waiting != waiting:
+        # Beyond the team's share the length of its queue hardly matters.
+        change += min(abs(team.waiting - waiting), max(1.0, team.due))
+        if not (team.waiting and waiting):
+            change += 1
+    return change
 
 
 def _told(team):
@@ -112,18 +130,21 @@
     return TeamUsage(team.name, team.running_tasks, team.waiting)
 
 
-def peer_digest(usage, fair, team_of, peer, message, now):
+def peer_digest(usage, fair, teams, team_of, peer, message, now):
     """Take over the load that a peer reports."""
     known = usage.peers.get(peer)
     if known is None:
         known = usage.peers[peer] = Peer(now)
-        usage.full_at = usage.next_at = 0.0  # the new peer needs every team
+        for team in teams:  # the new peer needs every team
+            if team.told != (0, 0):
+                team.told = (-1, -1)
     late_s = min(MAX_LATENESS_S, now - known.updated_at)
     known.updated_at = now
     for entry in message.teams:
         team = team_of(entry.team)
-        running, waiting = known.teams.get(entry.team, (0, 0))
-        known.teams[entry.team] = (entry.running, entry.waiting)
+        known.teams.add(team)
+        running, waiting = team.peers.get(peer, (0, 0))
+        team.peers[peer] = (entry.running, entry.waiting)
         team.peer_running += entry.running - running
         team.peer_waiting += entry.waiting - waiting
         if entry.running > running:
@@ -132,12 +153,12 @@
             fairshare.charge(fair, team, slot_seconds * team.local_share)
 
 
-def peer_lost(usage, team_of, peer):
+def peer_lost(usage, peer):
     """Forget the load of a peer that is gone or out of reach."""
     known = usage.peers.pop(peer, None)
     if known is None:
         return
-    for name, (running, waiting) in known.teams.items():
-        team = team_of(name)
+    for team in known.teams:
+        running, waiting = team.peers.pop(peer)
         team.peer_running -= running
         team.peer_waiting -= waiting
