Let the reserve for short work follow its use

Cause: short work that needs more than short_reserve queued behind long work. Change: long work leaves 2.5 times the slots that short work uses, up to 60%.

--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -4,6 +4,10 @@
 
 from . import estimates, fairshare, placement, quarantine, teams, usage
 
+SHORT_HEADROOM = 2.5  # slots kept for short work over what it uses
+SHORT_RESERVE_MAX = 0.6  # part of the slots that the headroom may take
+SHORT_USE_STEP = 0.025  # per step of 50 ms: follows the use within about 2 s
+
 
 class SchedulerState:
     """State of the scheduling policy of one entry."""
@@ -29,6 +33,7 @@
         "waiting",
         "long_running",
         "short_seen_at",
+        "short_use",
         "slots",
         "totals",
         "totals_version",
@@ -66,6 +71,7 @@
         self.waiting = 0
         self.long_running = 0
         self.short_seen_at = float("-inf")
+        self.short_use = 0.0  # slots that short work uses, smoothed
         self.slots = 0  # of all agents that are not draining
         self.totals = dict.fromkeys(teams.RESOURCES, 0)
         self.totals_version = 0
@@ -82,8 +88,20 @@
 
     def long_slots(self):
         """Return the slots that long work may hold while there is short work."""
-        granted = sum(d.window for d in self.placement.domains.values())
-        return (1.0 - self.policy.short_reserve) * granted
+        granted = self.granted()
+        reserve = self.policy.short_reserve * granted
+        wanted = min(SHORT_RESERVE_MAX * granted, SHORT_HEADROOM * self.short_use)
+        return granted - max(reserve, wanted)
+
+    def granted(self):
+        """Return the slots of all agents that take work."""
+        return sum(domain.window for domain in self.placement.domains.values())
+
+    def sample_short(self):
+        """Follow the number of slots that short work uses."""
+        running = sum(domain.running for domain in self.placement.domains.values())
+        short = running - self.long_running
+        self.short_use += SHORT_USE_STEP * (short - self.short_use)
 
     def long_room(self, now):
         """Return how many more long tasks may start."""
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -262,6 +262,7 @@
         return
     state.stepped_at = now
     starts.watch_long(state, now)
+    state.sample_short()
     for team in state.teams.values():
         if team.deferred:
             for job, indexes in retries.release(team, now - (last or now)):
