--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import pytest
+import tomli_w
 import urllib3
 
 from tests.standins.processes import running_log_service, running_target
@@ -39,12 +40,12 @@
         self.start()
 
     def start(self):
-        command = [sys.executable, "-m", "tests.entry.role_process", self._role]
+        settings_path = self.log_path.with_suffix(".toml")
+        settings_path.write_text(tomli_w.dumps(self.settings))
+        command = [sys.executable, "-m", "turmericknot", self._role, "run"]
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [*command, msgspec.json.encode(self.settings).decode()],
-                stdout=log,
-                stderr=log,
+                [*command, str(settings_path)], stdout=log, stderr=log
             )
 
     def stop(self):
@@ -120,12 +121,12 @@
         names = {entry.settings["entry_id"] for entry in self.entries}
 
         def ready():
-            return all(
-                entry.status()["agents"] == len(self.agents)
-                and entry.status()["peers"] == len(self.entries) - 1
-                and entry.status()["config_version"] > 0
-                for entry in self.entries
-            ) and all(set(agent.status()["entries"]) == names for agent in self.agents)
+            for status in (entry.status() for entry in self.entries):
+                usable = sum(agent["usable"] for agent in status["agents"])
+                found = (usable, status["peers"], status["config_version"] > 0)
+                if found != (len(self.agents), len(names) - 1, True):
+                    return False
+            return all(set(agent.status()["entries"]) == names for agent in self.agents)
 
         wait_until(ready)
 
--- a/turmericknot/agent/service.py
+++ b/turmericknot/agent/service.py
@@ -20,8 +20,8 @@
 
 
 def serve(settings):
-    """Run an agent until SIGTERM or SIGINT; return the exit code."""
-    return serve_role(SERVICES, settings, _drain)
+    """Run an agent until SIGTERM or SIGINT."""
+    serve_role(SERVICES, settings, _drain)
 
 
 def _drain(kernel):
--- a/turmericknot/entry/service.py
+++ b/turmericknot/entry/service.py
@@ -25,8 +25,8 @@
 
 
 def serve(settings):
-    """Run an entry until SIGTERM or SIGINT; return the exit code."""
-    return serve_role(SERVICES, settings, _drain)
+    """Run an entry until SIGTERM or SIGINT."""
+    serve_role(SERVICES, settings, _drain)
 
 
 def _drain(kernel):
