--- /dev/null
+++ b/tests/entry/test_api.py
@@ -0,0 +1,181 @@
+"""The callers' interface over real HTTP, with a dispatcher that answers at once."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+import pytest
+import urllib3
+
+from tests.entry.conftest import free_addresses, job
+from turmericknot.conf.schema import EntrySettings
+from turmericknot.core.kernel import Kernel
+from turmericknot.dispatch import events
+from turmericknot.dispatch.tasks import Answer, JobStatus, Reason, TaskAnswer
+from turmericknot.entry.api import create_api
+from turmericknot.entry.requests import create_requests_service
+
+THREADS = 20
+
+
+class FakeDispatcher:
+    """Answer events with ``answer`` once ``open`` is set."""
+
+    is_alive = True
+
+    def __init__(self, requests):
+        self.events = []
+        self.answer = Answer(b"", JobStatus.COMPLETE)
+        self.open = threading.Event()
+        self.open.set()
+        self._requests = requests
+
+    def post(self, event):
+        self.events.append(event)
+        if self.open.is_set():
+            self._requests.respond(event.request, self.answer)
+
+    def release(self):
+        self.open.set()
+        self._requests.respond_all(self.answer)
+
+
+class Client:
+    def __init__(self, url, dispatcher):
+        self.url, self.dispatcher = url, dispatcher
+
+    def __call__(self, method, path, body=None):
+        data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+        answer = urllib3.request(
+            method, self.url + path, body=data, retries=False, timeout=10
+        )
+        return answer.status, answer.data
+
+
+@pytest.fixture
+def client():
+    kernel = Kernel()
+    requests = kernel.register("requests", create_requests_service(kernel, None))
+    dispatcher = kernel.register("dispatcher", FakeDispatcher(requests))
+    (address,) = free_addresses(1)
+    settings = EntrySettings(
+        "e1", "fd1", "r1", address, http_threads=THREADS, max_body_bytes=100_000
+    )
+    api = create_api(kernel, settings)
+    api.start()
+    yield Client(f"http://{address}", dispatcher)
+    api.stop()
+
+
+def test_payloads_and_outputs_pass_through_unchanged(client):
+    """Guards against values that change on their way, such as large integers."""
+    client.dispatcher.answer = Answer(
+        b"", JobStatus.COMPLETE, results=[TaskAnswer(0, b'{"n": 1e400}', 5.0)]
+    )
+    payload = b'{"a": [1, 2.50, null], "n": 123456789012345678901234567890}'
+    head = msgspec.json.encode(job("k", 0))[:-1].replace(b',"tasks":[]', b"")
+    status, data = client(
+        "POST", "/v1/jobs", head + b',"tasks":[{"payload":%s}]}' % payload
+    )
+    assert status == 200 and b'"output":{"n": 1e400}' in data
+    spec = client.dispatcher.events[0].spec
+    assert spec.tasks[0].payload == payload
+
+
+def test_digest_covers_what_is_run_and_nothing_else(client):
+    """Guards against conflicts between a submission and its own repetition."""
+    body = job("k", 2)
+    other = job("k", 2, run_ms=21)
+    for each in (body, {**body, "deadline_s": 5, "wait": False}, other):
+        client("POST", "/v1/jobs", each)
+    submitted = [e for e in client.dispatcher.events if type(e) is events.JobSubmitted]
+    first, repeated, changed = (event.spec.digest for event in submitted)
+    assert first == repeated != changed
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "error"),
+    [
+        (b"{", 400, b"malformed_json"),
+        (b'{"team": "\xff"}', 400, b"malformed_json"),
+        (b"{}", 400, b"team"),
+        ({**job("k"), "tasks": []}, 400, b"$.tasks"),
+        ({**job("k"), "deadline_s": 0}, 400, b"$.deadline_s"),
+        ({**job("k"), "key": "x" * 201}, 400, b"$.key"),
+        ({**job("k"), "tasks": [{"size_ms": "long"}]}, 400, b"$.tasks[0].size_ms"),
+        (b" " * 200_000, 413, b"exceeds the maximum"),
+    ],
+)
+def test_bad_bodies_are_refused_with_a_reason(client, body, status, error):
+    """Guards against bad bodies that reach the dispatcher or end in a 500."""
+    answer = client("POST", "/v1/jobs", body)
+    assert answer[0] == status and error in answer[1], answer
+    assert client.dispatcher.events == []
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/v1/nothing", 404),
+        ("PUT", "/v1/jobs", 405),
+        ("PUT", "/v1/jobs/t/k", 405),
+        ("GET", "/v1/jobs/t/k", 400),
+        ("GET", "/v1/jobs/t/k?expires_at=nan", 400),
+        ("GET", "/v1/healthz", 200),
+    ],
+)
+def test_paths_and_parameters(client, method, path, status):
+    assert client(method, path)[0] == status
+
+
+@pytest.mark.parametrize(
+    ("job_status", "reason", "status"),
+    [
+        (JobStatus.FAILED, Reason.TASK_FAILED, 500),
+        (JobStatus.FAILED, Reason.KEY_CONFLICT, 409),
+        (JobStatus.NOT_RUN, Reason.OVERLOAD, 429),
+        (JobStatus.NOT_RUN, Reason.NEVER_RUNNABLE, 422),
+        (JobStatus.NOT_RUN, Reason.DRAINING, 503),
+        (JobStatus.UNKNOWN, Reason.MAY_HAVE_STARTED, 504),
+        (JobStatus.UNKNOWN, Reason.NOT_FOUND, 404),
+        (JobStatus.PENDING, Reason.NONE, 202),
+    ],
+)
+def test_status_of_answers(client, job_status, reason, status):
+    client.dispatcher.answer = Answer(b"", job_status, reason)
+    assert client("POST", "/v1/tasks", job("k"))[0] == status
+
+
+def test_key_with_reserved_characters_names_the_same_job(client):
+    """Guards against a job that its own caller cannot find again."""
+    body = job("a/b ü")
+    client("POST", "/v1/jobs", body)
+    query = f"expires_at={body['expires_at']!r}"
+    client("GET", f"/v1/jobs/carts/a%2Fb%20%C3%BC?{query}")
+    submitted, awaited = client.dispatcher.events
+    assert submitted.spec.job == awaited.job
+
+
+def test_waiting_callers_do_not_block_others(client):
+    """Guards against refusals and health checks behind callers that wait."""
+    client.dispatcher.open.clear()
+    with ThreadPoolExecutor(4 * THREADS) as pool:
+        calls = [
+            pool.submit(client, "POST", "/v1/jobs", job(f"k{number}", 1))
+            for number in range(4 * THREADS)
+        ]
+        deadline = time.monotonic() + 5
+        while len(client.dispatcher.events) < len(calls):
+            assert time.monotonic() < deadline, "callers wait for a thread"
+            time.sleep(0.01)
+        assert client("GET", "/v1/healthz")[0] == 200
+        client.dispatcher.release()
+        assert {call.result()[0] for call in calls} == {200}
+
+
+def test_caller_that_does_not_wait_is_told_pending(client):
+    client.dispatcher.open.clear()
+    status, _ = client("POST", "/v1/jobs", {**job("k"), "wait": False})
+    assert status == 202
+    assert type(client.dispatcher.events[-1]) is events.RequestAbandoned
