--- a/turmericknot/core/role.py
+++ b/turmericknot/core/role.py
@@ -1,7 +1,5 @@
 """Run a role: start its services, wait for the end, stop gracefully."""
 
-import sys
-
 from turmericknot.utils.logging import get_logger
 
 from .exceptions import DispatcherFailed
@@ -10,7 +8,7 @@
 
 # Threads hand work over several times per task; the default interval of 5 ms would
 # add that much to each hand-over while another thread computes.
-SWITCH_INTERVAL_S = 0.0005
+SWITCH_INTERVAL_S = 0.005
 # Beyond the drain time, for the last answers to be written.
 DRAIN_MARGIN_S = 1.0
 
@@ -22,7 +20,6 @@
     finish what is in flight. A retired incarnation is replaced by a new one.
     Raise AddressInUse when a port is taken and DispatcherFailed after a fault.
     """
-    sys.setswitchinterval(SWITCH_INTERVAL_S)
     while True:
         outcome, reason = _run(services, settings, drain)
         get_logger().info("role.ended", outcome=outcome.value, reason=reason)
