--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -22,6 +22,7 @@
         "usage",
         "median",
         "watched",
+        "ended",
         "parked",
         "deadlines",
         "sequence",
@@ -35,8 +36,8 @@
         "entitlement",
         "shares_at",
         "stepped_at",
-        "demanding",
-        "idle_since",
+        "asked_at",
+        "ask_ring",
     )
 
     def __init__(self, settings, rng):
@@ -58,6 +59,7 @@
         self.usage = usage.Usage()
         self.median = estimates.Median()
         self.watched = deque()  # batches of short work in the order of their start
+        self.ended = set()  # teams with tasks that ended since the last starts
         self.parked = {}  # reason -> teams that could start nothing
         self.deadlines = []  # heap of (time to look at it, sequence, job)
         self.sequence = 0
@@ -71,8 +73,8 @@
         self.entitlement = 0.0
         self.shares_at = float("-inf")
         self.stepped_at = None
-        self.demanding = False
-        self.idle_since = None
+        self.asked_at = float("-inf")
+        self.ask_ring = deque()
 
     def is_long(self, estimator):
         """Tell whether an estimator's tasks count as long work at this entry."""
