--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -12,6 +12,8 @@
 import urllib3
 
 from tests.standins.processes import running_log_service, running_target
+from turmericknot.configtree.records import STREAM, Change, encode
+from turmericknot.platform.log_client import create_log_client
 
 READY_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 10
@@ -76,7 +78,7 @@
         self._directory = directory
         self.log = stack.enter_context(running_log_service())
         self.entries, self.agents, self.targets = [], [], []
-        publish(self.log, {"teams": TEAMS})
+        publish(self.log, TEAMS)
 
     def add_entry(self, **overrides):
         http, link = free_addresses(2)
@@ -139,11 +141,13 @@
         return total
 
 
-def publish(log, tree):
-    """Write a configuration record."""
-    body = msgspec.json.encode({"tree": tree})
-    answer = urllib3.request("POST", f"{log.url}/v1/streams/config", body=body)
-    assert answer.status == 200
+def publish(log, teams, base=0):
+    """Append a change that sets the teams."""
+    sets = {f"teams.{name}": subtree for name, subtree in teams.items()}
+    change = Change(b"r" * 12, base, "test", sets)
+    client = create_log_client(log.url)
+    client.append(STREAM, encode(change))
+    client.close()
 
 
 def wait_until(condition, timeout_s=READY_TIMEOUT_S):
--- a/turmericknot/entry/config.py
+++ b/turmericknot/entry/config.py
@@ -1,88 +1,100 @@
 """The configuration in force: from the log, or from a peer while the log is down.
 
-Callbacks of links run in the thread of the event loop, the tail in its own.
+Callbacks of links run in the thread of the event loop, the tail in its own; the
+lock guards the follower and the version in force.
 """
 
+import random
 import threading
 
-import msgspec
-
-from turmericknot.core.exceptions import RecordsTrimmed
+from turmericknot.configtree import follower
+from turmericknot.configtree.records import STREAM
+from turmericknot.configtree.tree import Verdict
+from turmericknot.core.exceptions import (
+    AppendNotWritten,
+    AppendOutcomeUnknown,
+    LogUnavailable,
+    RecordsTrimmed,
+)
+from turmericknot.core.ids import record_id
 from turmericknot.dispatch import events
 from turmericknot.utils.logging import get_logger
 from turmericknot.wire.messages import ConfigUpdate
 
 from .log import follow
 
-STREAM = "config"
 POLL_WAIT_S = 10.0
 
+_LOUD = (Verdict.CONFLICT, Verdict.INVALID)
 
-class Config:
-    """Version and tree in force, and the streams of agents that hear of them."""
-
-    __slots__ = ("_kernel", "_version", "_tree", "_next", "_agents", "_lock", "_stop")
 
-    def __init__(self, kernel):
+class Config:
+    """Progress in stream ``config`` and the streams of agents that hear of it."""
+
+    __slots__ = (
+        "_kernel",
+        "_author",
+        "_rng",
+        "_state",
+        "_retention_s",
+        "_agents",
+        "_lock",
+        "_stopping",
+    )
+
+    def __init__(self, kernel, author):
         self._kernel = kernel
-        self._version = 0
-        self._tree = {}
-        self._next = 0
+        self._author = author
+        self._rng = random.Random()
+        self._state = follower.create_follower(self._rng)
+        self._retention_s = None  # as the log service states it, once asked
         self._agents = set()
         self._lock = threading.Lock()
-        self._stop = threading.Event()
+        self._stopping = threading.Event()
 
     @property
     def version(self):
         """Return the version in force; 0 while there is none."""
-        return self._version
+        return self._state.version
 
     def start(self):
         """Follow the stream of configuration records."""
         client = self._kernel.get("log").client
         threading.Thread(
             target=follow,
-            args=(lambda: self._read(client), self._stop, lambda: None),
+            args=(lambda: self._read(client), self._stopping, lambda: None),
             name="config",
             daemon=True,
         ).start()
 
     def stop(self):
         """Stop following; a long poll in progress ends with its thread."""
-        self._stop.set()
-
-    def install(self, version, tree):
-        """Put a configuration in force unless it is older than the present one."""
-        with self._lock:
-            if version <= self._version:
-                return
-            self._version, self._tree = version, tree
-            self._kernel.get("dispatcher").post(events.ConfigChanged(version, tree))
-            agents = list(self._agents)
-        get_logger().info("config.in_force", version=version)
-        links = self._kernel.get("links")
-        for stream in agents:
-            links.send(stream, ConfigUpdate(version, b""))
-        links.flush()
+        self._stopping.set()
 
     def agent_welcomed(self, stream):
         """Tell an agent the version, now and at every change."""
-        self._agents.add(stream)
-        if self._version:
-            self._send(stream, ConfigUpdate(self._version, b""))
+        with self._lock:
+            self._agents.add(stream)
+            version = self.version
+        if version:
+            self._send([stream], ConfigUpdate(version, b""))
 
     def peer_opened(self, stream, version):
         """Give a peer with an older configuration the one in force here."""
-        if version < self._version:
-            tree = msgspec.msgpack.encode(self._tree)
-            self._send(stream, ConfigUpdate(self._version, tree))
+        with self._lock:
+            own = self.version
+            copy = follower.export_copy(self._state) if version < own else None
+        if copy is not None:
+            self._send([stream], ConfigUpdate(own, copy))
 
     def take_updates(self, messages):
         """Install what a peer sent; return the other messages."""
         rest = []
         for message in messages:
             if isinstance(message, ConfigUpdate):
-                self.install(message.version, msgspec.msgpack.decode(message.tree))
+                with self._lock:
+                    follower.peer_copy(self._state, message.tree)
+                self._put_in_force()
             else:
                 rest.append(message)
         return rest
@@ -91,23 +103,58 @@
         """Forget the stream of an agent."""
         self._agents.discard(stream)
 
-    def _send(self, stream, message):
-        links = self._kernel.get("links")
-        links.send(stream, message)
-        links.flush()
-
     def _read(self, client):
+        """Wait for records; put a new version in force; keep a snapshot fresh."""
         try:
-            page = client.read(STREAM, self._next, POLL_WAIT_S)
+            page = client.read(STREAM, self._state.next_offset, POLL_WAIT_S)
         except RecordsTrimmed as error:
-            self._next = error.first_offset
+            with self._lock:
+                follower.offset_trimmed(self._state, error.first_offset)
             return
-        for record in page.records:
-            self._next = record.offset + 1
-            tree = msgspec.json.decode(record.data)["tree"]
-            self.install(record.offset + 1, tree)
+        with self._lock:
+            outcomes = follower.page_read(self._state, page)
+        for outcome in outcomes:
+            if outcome.verdict in _LOUD:
+                get_logger().warning("config.skipped", outcome=str(outcome))
+        self._put_in_force()
+        self._write_snapshot(client, page.log_time)
+
+    def _put_in_force(self):
+        with self._lock:
+            change = follower.take_change(self._state)
+            if change is None:
+                return
+            # Posted under the lock, so that versions reach the dispatcher in order.
+            self._kernel.get("dispatcher").post(events.ConfigChanged(*change))
+            agents = list(self._agents)
+        get_logger().info("config.in_force", version=change[0])
+        self._send(agents, ConfigUpdate(change[0], b""))
+
+    def _write_snapshot(self, client, log_time):
+        """Append a snapshot when the newest one gets old; any entry may."""
+        try:
+            if self._retention_s is None:
+                self._retention_s = client.info().retention_s
+            with self._lock:
+                data = follower.snapshot_due(
+                    self._state,
+                    log_time,
+                    self._retention_s,
+                    record_id(self._rng),
+                    self._author,
+                )
+            if data is not None:
+                client.append(STREAM, data)
+        except (LogUnavailable, AppendNotWritten, AppendOutcomeUnknown) as error:
+            get_logger().warning("config.snapshot_failed", error=str(error))
+
+    def _send(self, streams, message):
+        links = self._kernel.get("links")
+        for stream in streams:
+            links.send(stream, message)
+        links.flush()
 
 
 def create_config(kernel, settings):
     """Return the configuration service of an entry."""
-    return Config(kernel)
+    return Config(kernel, settings.entry_id)
