--- a/turmericknot/agent/runners.py
+++ b/turmericknot/agent/runners.py
@@ -11,6 +11,8 @@
 from turmericknot.utils.logging import get_logger
 from turmericknot.wire.messages import TaskStatus
 
+from .connection import create_slot_client
+
 _STATUSES = {
     "ok": TaskStatus.OK,
     "failed": TaskStatus.FAILED,
@@ -46,7 +48,7 @@
     def _connect(self):
         self.on_stop()
         self._address = self._runners.address
-        self._client = create_target_client(self._address, pool_size=1)
+        self._client = create_slot_client(self._address)
 
 
 class ControlActor(pykka.ThreadingActor):
