Write and read whole frames past grpclib's coroutines

A frame that fits the flow-control window is written by one call, and incoming data is cut into frames as it arrives.

--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -3,10 +3,12 @@
 import queue
 import socket
 import threading
+from contextlib import contextmanager
 
 import pytest
 
 from turmericknot.core.exceptions import AddressInUse
+from turmericknot.wire import streams
 from turmericknot.wire.links import LinkCallbacks, create_links
 from turmericknot.wire.messages import Acknowledge, Heartbeat
 from turmericknot.wire.traffic import report
@@ -74,18 +76,40 @@
     return messages
 
 
-def test_messages_arrive_once_and_in_order_in_few_frames(start, address):
-    """Guards against lost wake-ups and against one frame per message."""
+@contextmanager
+def paused_loop(side):
+    """Keep the event loop of a side busy while the block runs."""
+    paused, resume = threading.Event(), threading.Event()
+    side.links._loop.call_soon_threadsafe(lambda: (paused.set(), resume.wait(WAIT_S)))
+    assert paused.wait(WAIT_S)
+    try:
+        yield
+    finally:
+        resume.set()
+
+
+def test_messages_arrive_once_and_in_order(start, address):
+    """Guards against lost wake-ups between the sending thread and the loop."""
     server, client, _, dialled = connect(start, address)
     sent = [Heartbeat(number) for number in range(2000)]
     for message in sent:
         client.links.send(dialled, message)
         client.links.flush()
     assert receive(server, len(sent)) == sent
-    counted = report(server.links.traffic)["received"]
-    assert counted["types"]["Heartbeat"]["messages"] == len(sent) + 1
-    assert counted["frames"] < len(sent) / 4
-    assert report(client.links.traffic)["sent"]["bytes"] == counted["bytes"]
+    received = report(server.links.traffic)["received"]
+    assert received["types"]["Heartbeat"]["messages"] == len(sent) + 1
+    assert received == report(client.links.traffic)["sent"]
+
+
+def test_all_that_waits_for_a_stream_is_one_frame(start, address):
+    """Guards against one frame per message while the loop is busy."""
+    server, client, _, dialled = connect(start, address)
+    with paused_loop(client):
+        for number in range(2000):
+            client.links.send(dialled, Heartbeat(number))
+            client.links.flush()
+    assert len(receive(server, 2000)) == 2000
+    assert report(client.links.traffic)["sent"]["frames"] == 2  # Hello was the first
 
 
 def test_large_batches_are_split_and_arrive(start, address):
@@ -139,14 +163,21 @@
     client = start()
     client.links.dial("server", address, lambda: Heartbeat(1))
     accepted, _, _ = server.next("opened")
-    paused, resume = threading.Event(), threading.Event()
-    client.links._loop.call_soon_threadsafe(lambda: (paused.set(), resume.wait(WAIT_S)))
-    assert paused.wait(WAIT_S)
-    for _ in range(30):
-        server.links.send(accepted, Acknowledge([bytes(1_000_000)]))
-    server.links.flush()
-    assert server.next("closed") == (accepted, "send queue full")
-    resume.set()
+    with paused_loop(client):
+        for _ in range(30):
+            server.links.send(accepted, Acknowledge([bytes(1_000_000)]))
+        server.links.flush()
+        assert server.next("closed") == (accepted, "send queue full")
+
+
+def test_broken_connection_closes_both_ends_and_is_dialled_again(start, address):
+    """Guards against a stream that stays open after its peer was killed."""
+    server, client, accepted, dialled = connect(start, address)
+    stream = server.links._streams[accepted]
+    server.links._loop.call_soon_threadsafe(streams.abort, stream, "test")
+    assert server.next("closed") == (accepted, "test")
+    assert client.next("closed")[0] == dialled
+    assert server.next("opened")[1] == Heartbeat(1)
 
 
 def test_port_in_use_is_a_typed_error(start, address):
--- a/turmericknot/wire/links.py
+++ b/turmericknot/wire/links.py
@@ -187,11 +187,15 @@
     # Cleared first: a message queued from here on schedules another call.
     links._scheduled = False
     outbox, open_streams = links._outbox, links._streams
+    filled = {}
     while outbox:
         stream_id, message = outbox.popleft()
         stream = open_streams.get(stream_id)
         if stream is not None:
             streams.queue_message(stream, message)
+            filled[stream_id] = stream
+    for stream in filled.values():
+        streams.write_queued(stream)
 
 
 def _close_stream(links, stream_id, reason):
@@ -236,6 +240,7 @@
 async def _serve(links, grpc):
     """Run an accepted stream."""
     with contextlib.suppress(*_LINK_ERRORS):
+        await grpc.send_initial_metadata()
         with _registered(links, grpc, None) as stream:
             await streams.run(stream, _receiver(links))
 
@@ -313,6 +318,7 @@
             await asyncio.wait_for(grpc.send_request(), CONNECT_TIMEOUT_S)
             with _registered(links, grpc, key) as stream:
                 streams.queue_message(stream, hello())
+                streams.write_queued(stream)
                 await streams.run(stream, _receiver(links), grpc.end)
     except ConnectionRefusedError:
         refused = True
--- a/turmericknot/wire/streams.py
+++ b/turmericknot/wire/streams.py
@@ -7,7 +7,7 @@
 
 from turmericknot.core.exceptions import WireError
 
-from . import codec
+from . import codec, direct
 from .traffic import count_message
 
 # Past this much unsent data the peer is taken as stuck and the stream is closed.
@@ -45,6 +45,7 @@
         "_queue",
         "_queued_bytes",
         "_wakeup",
+        "_is_writing",
         "_max_queued_bytes",
     )
 
@@ -58,6 +59,7 @@
         self._queue = []
         self._queued_bytes = 0
         self._wakeup = asyncio.Event()
+        self._is_writing = True  # nothing is written before the stream runs
         self._max_queued_bytes = max_queued_bytes
 
     @property
@@ -67,13 +69,15 @@
 
 
 def queue_message(stream, message):
-    """Queue a message; abort the stream when its queue is over the bound."""
+    """Queue a message, to be followed by ``write_queued``.
+
+    The stream is aborted when its queue is over the bound.
+    """
     if stream.close_reason:
         return
     data = codec.encode_message(message)
     stream._queue.append((type(message), data))
     stream._queued_bytes += len(data)
-    stream._wakeup.set()
     if stream._queued_bytes > stream._max_queued_bytes:
         abort(stream, "send queue full")
 
@@ -98,16 +102,20 @@
     ``received`` takes the stream and the messages of a frame. ``half_close`` ends
     the sending side of a dialled stream; an accepted one ends on return.
     """
-    reader = asyncio.create_task(_read(stream, received))
+    ended = asyncio.Event()
+    direct.install_buffer(
+        stream._grpc, lambda data: _receive(stream, received, data), ended.set
+    )
     writer = asyncio.create_task(_write(stream))
+    reader = asyncio.create_task(direct.wait_ended(stream._grpc, ended))
+    stream._is_writing = False
     try:
-        done, _ = await asyncio.wait(
-            {reader, writer}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if half_close is not None and writer in done and not writer.exception():
+        await asyncio.wait({reader, writer}, return_when=asyncio.FIRST_COMPLETED)
+        if half_close is not None and writer.done() and not writer.exception():
             await half_close()
             await asyncio.wait({reader}, timeout=CLOSE_TIMEOUT_S)
     finally:
+        stream._is_writing = True
         stream.close_reason = stream.close_reason or "closed by peer"
         reader.cancel()
         writer.cancel()
@@ -115,12 +123,36 @@
             await asyncio.gather(reader, writer, return_exceptions=True)
 
 
+def write_queued(stream):
+    """Write what waits: at once if the connection takes it, else by the writer."""
+    if stream._is_writing or stream.close_reason or not _write_at_once(stream):
+        stream._wakeup.set()
+
+
+def _write_at_once(stream):
+    if not stream._queue or stream._queued_bytes > direct.MAX_DIRECT_BYTES:
+        return not stream._queue
+    data = codec.join_frame([part for _, part in stream._queue])
+    if not direct.write_frame(stream._grpc, data):
+        return False
+    sent = stream._traffic.sent
+    sent.frames += 1
+    for message_type, part in stream._queue:
+        count_message(sent, message_type, len(part))
+    stream._queue = []
+    stream._queued_bytes = 0
+    return True
+
+
 async def _write(stream):
+    """Write what does not fit the flow-control window or the socket at once."""
     while True:
         await stream._wakeup.wait()
         stream._wakeup.clear()
+        stream._is_writing = True
         while stream._queue:
             await _write_frame(stream)
+        stream._is_writing = False
         if stream.close_reason:
             return
 
@@ -156,17 +188,17 @@
     return queue[:taken]
 
 
-async def _read(stream, received):
+def _receive(stream, received, data):
+    """Decode a frame and hand its messages over."""
     direction = stream._traffic.received
-    while (data := await stream._grpc.recv_message()) is not None:
-        direction.frames += 1
-        try:
-            sized = codec.decode_sized(data)
-        except WireError as error:
-            abort(stream, str(error))
-            return
-        messages = []
-        for message, size in sized:
-            count_message(direction, type(message), size)
-            messages.append(message)
-        received(stream, messages)
+    direction.frames += 1
+    try:
+        sized = codec.decode_sized(data)
+    except WireError as error:
+        abort(stream, str(error))
+        return
+    messages = []
+    for message, size in sized:
+        count_message(direction, type(message), size)
+        messages.append(message)
+    received(stream, messages)
