Wait for the close in the test of a connection that closed while idle

The third request could be sent before the server had closed, which is a race of the test: it failed once in 1 run of the suite. It now waits for the close.

--- a/tests/agent/test_connection.py
+++ b/tests/agent/test_connection.py
@@ -27,7 +27,10 @@
 
 @pytest.fixture
 def serve():
-    """Return a function that answers connections with the given functions in turn."""
+    """Return a function that answers connections with the given functions in turn.
+
+    ``start.closed`` is released after each connection was closed.
+    """
     server = socket.create_server(("127.0.0.1", 0))
 
     def start(*handlers):
@@ -36,10 +39,12 @@
                 connection, _ = server.accept()
                 with connection:
                     handler(connection)
+                start.closed.release()
 
         threading.Thread(target=accept, daemon=True).start()
         return f"127.0.0.1:{server.getsockname()[1]}"
 
+    start.closed = threading.Semaphore(0)
     yield start
     server.close()
 
@@ -52,8 +57,9 @@
         reply(connection, b"dHdv")
 
     client = create_slot_client(serve(two, lambda c: reply(c, b"dGhyZWU=")))
-    outputs = [run(client).output for _ in range(3)]
-    assert outputs == [b"one", b"two", b"three"]
+    assert [run(client).output for _ in range(2)] == [b"one", b"two"]
+    assert serve.closed.acquire(timeout=5)
+    assert run(client).output == b"three"
 
 
 def test_refused_connection_is_a_task_that_did_not_start():
