--- a/turmericknot/entry/api.py
+++ b/turmericknot/entry/api.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+import time
 from urllib.parse import parse_qs
 
 import msgspec
@@ -17,6 +18,7 @@
 from turmericknot.dispatch.tasks import Answer, JobStatus, Reason
 
 from .bodies import JobBody, OneTaskBody, answer_body, http_status, job_of
+from .response_times import record_response
 
 # Most callers that can wait at the same time; more are told to ask again.
 MAX_HTTP_THREADS = 1024
@@ -75,7 +77,10 @@
         if not body.wait:
             wait_s = 0.0
         event = events.JobSubmitted
-        return self._exchange(spec.job, wait_s, lambda number: event(number, spec))
+        started = time.monotonic()
+        response = self._exchange(spec.job, wait_s, lambda number: event(number, spec))
+        record_response(spec, response[1], time.monotonic() - started)
+        return response
 
     def await_job(self, environ, team, key):
         """Answer with the state of a job that was submitted earlier."""
--- a/turmericknot/entry/dispatcher.py
+++ b/turmericknot/entry/dispatcher.py
@@ -10,6 +10,7 @@
 from turmericknot.core.process import process_figures
 from turmericknot.core.reporting import report_executors
 from turmericknot.dispatch import commands, entry
+from turmericknot.utils import histograms
 from turmericknot.wire.messages import EntryAddress, Welcome
 from turmericknot.wire.traffic import report
 
@@ -109,4 +110,5 @@
             "config_version": kernel.get("config").version,
             "traffic": report(kernel.get("links").traffic),
             "process": process_figures(dispatcher),
+            "histograms": histograms.snapshot(),
         }
--- a/turmericknot/utils/histograms.py
+++ b/turmericknot/utils/histograms.py
@@ -77,6 +77,12 @@
     return HistogramRegistry(limit)
 
 
+# The registry of this process.
+_process = create_registry()
+record = _process.record
+snapshot = _process.snapshot
+
+
 def _describe(key, histogram):
     """Return the figures of a histogram and its mergeable encoded form."""
     name, team, task_class = key
