--- a/tests/management/test_cli.py
+++ b/tests/management/test_cli.py
@@ -111,7 +111,7 @@
     "status, answer, code",
     [
         ("200 OK", {"status": "complete", "results": []}, 0),
-        ("202 Accepted", {"status": "pending"}, 0),
+        ("202 Accepted", {"status": "pending"}, 4),
         ("500 Internal Server Error", {"status": "failed"}, 1),
         ("400 Bad Request", {"error": "tasks is missing"}, 2),
         ("400 Bad Request", {"status": "not_run", "reason": "never_runnable"}, 3),
@@ -141,6 +141,16 @@
     assert f"key=2026 expires_at={body['expires_at']!r}" in err
 
 
+def test_job_that_is_not_waited_for_is_a_success_when_accepted(
+    run, fake_entry, job_file
+):
+    fake_entry.status, fake_entry.body = "202 Accepted", {"status": "pending"}
+    arguments = ("--entry", fake_entry.address, "--wait-s", "0")
+    assert run("job", "submit", job_file, *arguments)[0] == 0
+    body = msgspec.json.decode(fake_entry.requests[0][2])
+    assert (body["wait"], body["wait_s"]) == (False, 0)
+
+
 def test_team_and_key_are_escaped_in_paths(run, fake_entry):
     """Guards against a key with a slash that would address another job."""
     fake_entry.body = {"status": "not_run", "reason": "cancelled"}
@@ -159,16 +169,18 @@
 def test_status_tables(run, fake_entry):
     fake_entry.body = {
         "entry": "e1",
-        "teams": [{"team": "carts", "running": 3, "waiting": 12}],
-        "workers": {},
+        "scheduler": {"slots": 8, "teams": {"carts": {"running": 3, "due": 2.5}}},
+        "agents": [],
         "histograms": [
             {"name": "response", "team": "carts", "count": 4, "p50": 1.0},
         ],
     }
     code, out, _ = run("status", fake_entry.address)
     assert code == 0
-    for text in ("carts", "running", "response", "p999"):
-        assert text in out
+    lines = [line.split() for line in out.splitlines()]
+    assert ["scheduler.slots", "8"] in lines
+    assert ["carts", "3", "2.5"] in lines
+    assert ["response", "carts", "4", "1.0"] in lines
 
 
 def test_check_reports_findings_and_code(run, tmp_path):
--- a/turmericknot/management/commands/jobs.py
+++ b/turmericknot/management/commands/jobs.py
@@ -3,6 +3,7 @@
 import sys
 
 from turmericknot.conf import global_settings
+from turmericknot.dispatch.tasks import JobStatus
 from turmericknot.management import client, exit_codes, job_files, output
 from turmericknot.management.arguments import to_number
 from turmericknot.management.registry import register
@@ -15,7 +16,14 @@
 
 @register("job", "submit")
 def submit(
-    file, *, entry=DEFAULT_ENTRY, key="", expires_in_s="300", wait_s="60", json=False
+    file,
+    *,
+    entry=DEFAULT_ENTRY,
+    key="",
+    expires_at="",
+    expires_in_s="300",
+    wait_s="60",
+    json=False,
 ):
     """Submit a job and wait for its whole answer.
 
@@ -26,17 +34,23 @@
         file: job file, TOML or .json: the body of POST /v1/jobs
         entry: http_address of an entry
         key: idempotency key; else the one of the file, else a random one
-        expires_in_s: lifetime of the key when the file has no expires_at
+        expires_at: expiry of the key in seconds since the epoch; else the one of the
+            file
+        expires_in_s: lifetime of the key when there is no expires_at
         wait_s: how long to wait for the answer; 0 returns at once
         json: print the answer as JSON
     """
     lifetime_s = to_number(expires_in_s, "--expires-in-s", 0.001, MAX_WAIT_S)
-    body = job_files.read_job(file, key, lifetime_s)
+    expiry = to_number(expires_at, "--expires-at") if expires_at else None
+    body = job_files.read_job(file, key, expiry, lifetime_s)
     wait = to_number(wait_s, "--wait-s", 0, MAX_WAIT_S)
     body["wait"] = wait > 0
+    body["wait_s"] = wait
     print(f"key={body['key']} expires_at={body['expires_at']!r}", file=sys.stderr)
     answer = client.submit_job(entry, body, wait)
-    return _show(answer, json)
+    code = _show(answer, json)
+    accepted = answer.get("status") == JobStatus.PENDING and not body["wait"]
+    return exit_codes.OK if accepted else code
 
 
 @register("job", "wait")
--- a/turmericknot/management/commands/status.py
+++ b/turmericknot/management/commands/status.py
@@ -36,11 +36,12 @@
 
 def print_status(status):
     """Print the status of an entry as tables."""
-    _print_fields(status)
-    for name, value in status.items():
-        if name != "histograms" and _is_table(value):
-            _print_section(name, value)
-    histograms = status.get("histograms")
+    fields, tables = [], {}
+    _sort_out("", status, fields, tables)
+    histograms = tables.pop("histograms", None)
+    output.print_table(("field", "value"), fields)
+    for name, value in tables.items():
+        _print_section(name, value)
     if histograms:
         print_histograms(histograms)
 
@@ -52,23 +53,31 @@
     output.print_table(HISTOGRAM_COLUMNS, rows)
 
 
-def _print_fields(status):
-    """Print what is neither a list nor a group of named things."""
-    rows = []
-    for name, value in status.items():
-        if isinstance(value, list) or _is_table(value):
-            continue
-        if isinstance(value, dict):
-            rows += [(f"{name}.{key}", inner) for key, inner in value.items()]
+def _sort_out(prefix, values, fields, tables):
+    """Tell single values from tables; a nested name is joined with dots."""
+    for name, value in values.items():
+        path = f"{prefix}{name}"
+        if _is_table(value):
+            tables[path] = value
+        elif isinstance(value, dict):
+            _sort_out(f"{path}.", value, fields, tables)
+        elif isinstance(value, list):
+            fields.append((path, ", ".join(str(one) for one in value)))
         else:
-            rows.append((name, value))
-    output.print_table(("field", "value"), rows)
+            fields.append((path, value))
 
 
 def _is_table(value):
     """Tell whether a value is a list of dicts or a dict of dicts."""
+    if not isinstance(value, dict | list) or not value:
+        return False
     rows = value.values() if isinstance(value, dict) else value
-    return isinstance(value, dict | list) and all(isinstance(r, dict) for r in rows)
+    return all(isinstance(row, dict) and not _has_dicts(row) for row in rows)
+
+
+def _has_dicts(row):
+    """Tell whether a row is itself a group of tables."""
+    return any(isinstance(value, dict) for value in row.values())
 
 
 def _print_section(name, value):
@@ -76,7 +85,6 @@
     if isinstance(value, dict):
         value = [{"name": key, **row} for key, row in value.items()]
     columns = list(dict.fromkeys(key for row in value for key in row))
-    print(f"\n{name}" if value else f"\n{name}: none")
-    if value:
-        rows = [[row.get(column) for column in columns] for row in value]
-        output.print_table(columns, rows)
+    print(f"\n{name}")
+    rows = [[row.get(column) for column in columns] for row in value]
+    output.print_table(columns, rows)
--- a/turmericknot/management/exit_codes.py
+++ b/turmericknot/management/exit_codes.py
@@ -24,12 +24,12 @@
     FAILED: "the job failed, or the command failed for another reason",
     USAGE: "wrong usage, settings, configuration or request",
     NOT_RUN: "the job was not run by this attempt and never will be",
-    UNKNOWN: "the outcome of the job or change cannot be told",
+    UNKNOWN: "the outcome of the job or change cannot be told, or not yet",
     UNREACHABLE: "no entry or log service answers at the address",
 }
 
 _BY_STATUS = {
-    JobStatus.PENDING: OK,
+    JobStatus.PENDING: UNKNOWN,
     JobStatus.COMPLETE: OK,
     JobStatus.FAILED: FAILED,
     JobStatus.NOT_RUN: NOT_RUN,
--- a/turmericknot/management/job_files.py
+++ b/turmericknot/management/job_files.py
@@ -13,11 +13,11 @@
 MAX_TASKS = 100_000
 
 
-def read_job(path, key="", expires_in_s=300.0, wall_clock=time.time):
+def read_job(path, key="", expires_at=None, expires_in_s=300.0, wall_clock=time.time):
     """Return the body of a job submission.
 
     A task with ``repeat = n`` stands for n equal tasks. ``key`` and ``expires_at``
-    are filled in when the file has none.
+    take the place of those of the file; what both lack is made up.
     """
     body = _parse(Path(path))
     tasks = body.get("tasks")
@@ -26,6 +26,8 @@
     body["tasks"] = [task for one in tasks for task in _repeated(path, one)]
     if key:
         body["key"] = key
+    if expires_at is not None:
+        body["expires_at"] = expires_at
     body.setdefault("key", secrets.token_hex(KEY_BYTES))
     body.setdefault("expires_at", round(wall_clock() + expires_in_s, 3))
     return body
