--- /dev/null
+++ b/tests/management/test_first_steps.py
@@ -0,0 +1,145 @@
+"""What a new user meets, with the real processes."""
+
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+import tomli_w
+import urllib3
+
+from tests.federation import free_addresses
+from tests.standins.processes import running_log_service
+
+COMMAND = [sys.executable, "-m", "turmericknot"]
+START_TIMEOUT_S = 15
+MAX_BODY_BYTES = 2048
+
+
+def turmericknot(*arguments):
+    return subprocess.run(
+        [*COMMAND, *arguments], capture_output=True, text=True, timeout=30
+    )
+
+
+@pytest.fixture(scope="module")
+def settings_file(tmp_path_factory):
+    directory = tmp_path_factory.mktemp("settings")
+
+    def write(**changes):
+        http, link, log = free_addresses(3)
+        settings = {
+            "entry_id": "entry-1",
+            "failure_domain": "ub-1",
+            "region": "ub",
+            "http_address": http,
+            "link_address": link,
+            "log_url": f"http://{log}",
+            "max_body_bytes": MAX_BODY_BYTES,
+            **changes,
+        }
+        path = directory / f"{http.replace(':', '-')}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        return str(path), settings
+
+    return write
+
+
+@pytest.fixture(scope="module")
+def entry_without_log(settings_file):
+    """Yield the address and process of an entry that cannot reach its log."""
+    path, settings = settings_file()
+    process = subprocess.Popen(
+        [*COMMAND, "entry", "run", path], stderr=subprocess.PIPE, text=True
+    )
+    address = settings["http_address"]
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while not _answers(address):
+        assert time.monotonic() < deadline and process.poll() is None
+        time.sleep(0.05)
+    yield address
+    process.terminate()
+    _, text = process.communicate(timeout=40)
+    assert process.returncode == 0
+    assert "id=tk.E021" in text
+    assert "Traceback" not in text
+
+
+def _answers(address):
+    try:
+        return call(address, "GET", "/v1/healthz").status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
+def call(address, method, path, body=None):
+    url = f"http://{address}{path}"
+    return urllib3.request(method, url, body=body, timeout=10, retries=False)
+
+
+def test_all_mistakes_of_a_settings_file_are_shown(settings_file):
+    path, _ = settings_file(htp_address="127.0.0.1:1", http_threads=0)
+    done = turmericknot("entry", "run", path)
+    assert done.returncode == 2
+    assert "htp_address" in done.stderr and "did you mean 'http_address'" in done.stderr
+    assert "http_threads: found 0; allowed: an integer: 1 to 1024" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_port_in_use(settings_file):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        path, _ = settings_file(http_address=address)
+        done = turmericknot("entry", "run", path)
+    assert (done.returncode, "tk.E020" in done.stderr) == (2, True)
+    assert address in done.stderr and "Traceback" not in done.stderr
+
+
+def test_log_that_forgets_claims_too_early(settings_file):
+    """Guards against an entry that starts although claims vanish under its keys."""
+    with running_log_service("--retention-s", "60") as log:
+        path, _ = settings_file(log_url=log.url)
+        done = turmericknot("entry", "run", path)
+    assert (done.returncode, "tk.E030" in done.stderr) == (2, True)
+
+
+def test_live_check_of_an_unreachable_log(settings_file):
+    path, settings = settings_file()
+    done = turmericknot("check", path, "--live")
+    assert done.returncode == 2
+    assert "tk.E021" in done.stderr and settings["log_url"] in done.stderr
+
+
+@pytest.mark.parametrize(
+    "body, status, error",
+    [
+        (b"{", 400, "malformed_json"),
+        (b"\xff\xfe", 400, "malformed_json"),
+        (b"[]", 400, "invalid_body"),
+        (b'{"team": 1}', 400, "invalid_body"),
+        (b'{"team": "shop"}', 400, "invalid_body"),
+        (b" " * (MAX_BODY_BYTES + 1), 413, None),
+    ],
+)
+def test_bad_bodies(entry_without_log, body, status, error):
+    """Guards against a caller who can stop an entry with a bad request."""
+    answer = call(entry_without_log, "POST", "/v1/jobs", body)
+    assert answer.status == status
+    if error:
+        assert answer.json()["error"] == error
+        assert answer.json()["detail"]
+    assert call(entry_without_log, "GET", "/v1/healthz").status == 200
+
+
+def test_job_without_configuration_is_not_run(entry_without_log):
+    job = "examples/jobs/lot-reservation.toml"
+    done = turmericknot("job", "submit", job, f"--entry={entry_without_log}")
+    assert done.returncode == 3
+    assert "no_configuration" in done.stdout
+
+
+def test_status_of_an_entry_without_log(entry_without_log):
+    done = turmericknot("status", entry_without_log)
+    assert done.returncode == 0
+    assert "config_version" in done.stdout
