Answer bodies of a wrong length with 400 or 413 instead of 500

Tried by hand with a running entry: a chunked body over the limit and a negative Content-Length were answered with 500 internal_error and a traceback in the log. Both are faults of the caller. Four cases in tests/management/test_first_steps.py.

--- a/tests/management/test_first_steps.py
+++ b/tests/management/test_first_steps.py
@@ -132,6 +132,24 @@
     assert call(entry_without_log, "GET", "/v1/healthz").status == 200
 
 
+@pytest.mark.parametrize(
+    "headers, data, status",
+    [
+        (b"Transfer-Encoding: chunked", b"1000\r\n" + b" " * 4096 + b"\r\n", b"413"),
+        (b"Transfer-Encoding: chunked", b"zz\r\n", b"400"),
+        (b"Content-Length: -5", b"", b"400"),
+        (b"Content-Length: five", b"", b"400"),
+    ],
+)
+def test_bad_lengths(entry_without_log, headers, data, status):
+    """Guards against a wrong length that is taken as a fault of the entry."""
+    host, port = entry_without_log.split(":")
+    with socket.create_connection((host, int(port)), timeout=10) as connection:
+        request = b"POST /v1/jobs HTTP/1.1\r\nHost: e\r\n" + headers
+        connection.sendall(request + b"\r\n\r\n" + data)
+        assert connection.recv(4096).split()[1] == status
+
+
 def test_job_without_configuration_is_not_run(entry_without_log):
     job = "examples/jobs/lot-reservation.toml"
     done = turmericknot("job", "submit", job, f"--entry={entry_without_log}")
--- a/turmericknot/core/http_server.py
+++ b/turmericknot/core/http_server.py
@@ -147,6 +147,8 @@
         data = environ["wsgi.input"].read()
     except MaxSizeExceeded as error:
         raise HttpError(413, "body_too_large") from error
+    except (OSError, ValueError) as error:
+        raise _unreadable_body(error) from error
     try:
         return msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as error:
@@ -155,6 +157,14 @@
         raise HttpError(400, "malformed_json", str(error)) from error
 
 
+def _unreadable_body(error):
+    """Return the HttpError for what cheroot raises while it reads a body."""
+    # A chunked body over the limit has no type of its own.
+    if "Too Large" in str(error):
+        return HttpError(413, "body_too_large")
+    return HttpError(400, "unreadable_body", str(error))
+
+
 def _is_address_in_use(error):
     # cheroot wraps the error of bind and keeps only its text in the message.
     while error is not None:
