--- a/tests/conf/test_loader.py
+++ b/tests/conf/test_loader.py
@@ -131,14 +131,17 @@
 @pytest.mark.parametrize(
     "address, expected",
     [
-        ("127.0.0.1:80", ("127.0.0.1", 80)),
-        ("[::1]:80", ("::1", 80)),
-        ("::1:80", None),
-        ("host:", None),
-        (":80", None),
-        ("host:0", None),
-        ("host:٣", None),
+        ("127.0.0.1:80", True),
+        ("[::1]:80", True),
+        ("::1:80", False),
+        ("host:", False),
+        (":80", False),
+        ("[]:80", False),
+        ("host:0", False),
+        ("host:65536", False),
+        ("a host:80", False),
+        ("host:٣", False),
     ],
 )
 def test_addresses(address, expected):
-    assert rules.split_address(address) == expected
+    assert rules.is_address(address) is expected
--- a/turmericknot/checks/live.py
+++ b/turmericknot/checks/live.py
@@ -3,8 +3,8 @@
 import socket
 import time
 
-from turmericknot.conf.rules import split_address
 from turmericknot.conf.schema import EntrySettings
+from turmericknot.core.addresses import split_address
 from turmericknot.core.exceptions import TurmericknotError
 
 from .messages import create_error, create_warning
--- a/turmericknot/checks/settings.py
+++ b/turmericknot/checks/settings.py
@@ -4,8 +4,9 @@
 from collections import defaultdict
 
 from turmericknot.conf import loader
-from turmericknot.conf.rules import MIN_HEARTBEATS_BEFORE_SUSPECT, split_address
+from turmericknot.conf.rules import MIN_HEARTBEATS_BEFORE_SUSPECT
 from turmericknot.conf.schema import AgentSettings, EntrySettings
+from turmericknot.core.addresses import split_address
 from turmericknot.core.exceptions import SettingsError
 
 from .messages import create_error, create_warning
--- a/turmericknot/conf/rules.py
+++ b/turmericknot/conf/rules.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
-MAX_PORT = 65535
+from turmericknot.core.addresses import split_address
+from turmericknot.core.exceptions import ConfigurationError
+
 MAX_ID_CHARACTERS = 64
 POLICIES = ("windows", "random", "least_outstanding")
 LOG_LEVELS = ("debug", "info", "warning", "error")
@@ -27,20 +29,16 @@
     accepts: Callable[[object], bool]
 
 
-def split_address(address):
-    """Return host and port of ``host:port`` or ``[v6]:port``, or None."""
-    host, colon, port = address.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit():
-        return None
-    if not 1 <= int(port) <= MAX_PORT:
-        return None
-    bracketed = host.startswith("[") and host.endswith("]")
-    host = host[1:-1] if bracketed else host
-    if not host or any(character.isspace() for character in host):
-        return None
-    if ":" in host and not bracketed:
-        return None
-    return host, int(port)
+def is_address(value):
+    """Accept ``host:port`` or ``[v6]:port`` with a port that can be dialled."""
+    try:
+        host, port = split_address(value)
+    except ConfigurationError:
+        return False
+    bare = value.rpartition(":")[0]
+    bracketed = bare.startswith("[") and bare.endswith("]")
+    well_formed = value.isascii() and not any(map(str.isspace, value))
+    return bool(host) and port > 0 and well_formed and (bracketed or ":" not in bare)
 
 
 def _is_id(value):
@@ -77,15 +75,15 @@
 )
 _ADDRESS = Rule(
     "host:port with a port from 1 to 65535",
-    lambda value: split_address(value) is not None,
+    is_address,
 )
 _OPTIONAL_ADDRESS = Rule(
     "empty, or host:port with a port from 1 to 65535",
-    lambda value: not value or split_address(value) is not None,
+    lambda value: not value or is_address(value),
 )
 _ADDRESSES = Rule(
     "a list of host:port with ports from 1 to 65535",
-    lambda value: all(split_address(address) for address in value),
+    lambda value: all(map(is_address, value)),
 )
 
 # A setting without a rule of its own; only its type is checked.
--- a/turmericknot/management/client.py
+++ b/turmericknot/management/client.py
@@ -6,7 +6,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
-from turmericknot.conf.rules import split_address
+from turmericknot.conf.rules import is_address
 from turmericknot.core.exceptions import (
     EntryAnswerLost,
     EntryUnreachable,
@@ -53,7 +53,7 @@
 
 def _call(method, address, path, wait_s, body=None):
     """Return ``(status, decoded body)`` of one call."""
-    if split_address(address) is None:
+    if not is_address(address):
         raise UsageError(f"{address!r} is not an address host:port")
     timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=wait_s + ANSWER_MARGIN_S)
     try:
