--- a/tests/management/test_cli.py
+++ b/tests/management/test_cli.py
@@ -92,6 +92,8 @@
         (["job", "wait", "carts", "k", "soon"], "EXPIRES_AT: found 'soon'"),
         (["entry", "run", "absent.toml"], "No such file"),
         (["job", "submit", "absent.toml"], "No such file"),
+        (["config", "check", "absent"], "absent is not a directory"),
+        (["config", "show", "--at", "first"], "--at: found 'first'"),
     ],
 )
 def test_wrong_usage(run, arguments, message):
@@ -161,6 +163,11 @@
     assert fake_entry.requests[0][1].endswith("?expires_at=12.5")
 
 
+def test_unreachable_log(run):
+    code, _, err = run("config", "show", "--log-url", "http://127.0.0.1:1")
+    assert (code, "no answer" in err) == (5, True)
+
+
 def test_unreachable_entry(run, job_file):
     code, _, err = run("job", "submit", job_file, "--entry", "127.0.0.1:1")
     assert (code, "no entry answers" in err) == (5, True)
--- a/tests/management/test_examples.py
+++ b/tests/management/test_examples.py
@@ -23,6 +23,11 @@
     assert "0 errors, 0 warnings" in capsys.readouterr().out
 
 
+def test_federation_passes_the_check(capsys):
+    assert cli.run(["config", "check", str(EXAMPLES / "federation")]) == 0
+    assert "warning" not in capsys.readouterr().out
+
+
 @pytest.mark.parametrize("path", JOBS, ids=lambda path: path.stem)
 def test_jobs_belong_to_a_team_of_the_example_federation(path):
     body = job_files.read_job(path)
--- a/turmericknot/management/registry.py
+++ b/turmericknot/management/registry.py
@@ -9,7 +9,15 @@
 
 # Each module registers its commands when it is imported. One that is not part of
 # this build is left out.
-COMMAND_MODULES = ("roles", "checks", "config", "jobs", "status", "load", "version")
+COMMAND_MODULES = (
+    "roles",
+    "checks",
+    "configuration",
+    "jobs",
+    "status",
+    "load",
+    "version",
+)
 _PACKAGE = "turmericknot.management.commands"
 
 _commands = {}
