--- a/tests/federation.py
+++ b/tests/federation.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -21,12 +22,16 @@
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
+PORTS = range(20_000, 32_000)
 DEFAULT_TEAMS = {
     "carts": {"allowance": 80, "weight": 1.0},
     "binders": {"allowance": 80, "weight": 1.0},
 }
 
 
+_used_ports = set()
+
+
 class FederationError(Exception):
     """A process of the federation did not do what the test needs."""
 
@@ -153,18 +158,29 @@
 
 
 def free_addresses(count):
-    """Return loopback addresses with ports that are free now."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return loopback addresses with ports that are free now.
+
+    None is returned twice. The ports lie below those that the system gives to
+    outgoing connections, which could otherwise take one before it is bound.
+    """
+    addresses = []
+    while len(addresses) < count:
+        port = random.choice(PORTS)
+        if port not in _used_ports and _can_bind(port):
+            _used_ports.add(port)
+            addresses.append(f"127.0.0.1:{port}")
     return addresses
 
 
+def _can_bind(port):
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def split(address):
     host, _, port = address.rpartition(":")
     return host, int(port)
