Refuse non-idempotent jobs for certain when gone peers cannot own them

Cause: after an entry was killed, every refusal without a readable log was unknown, and a paused entry refused jobs for clock skew when it woke. Change: an entry that is gone for certain is left out for non-idempotent jobs once the claims were read after that; the clock is compared in quick reads only; an unknown answer carries the reason of the refusal.

--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -22,6 +22,8 @@
 from turmericknot.membership.state import create_membership_state
 
 HOUSEKEEPING_S = 1.0
+# Reads that end within this time measure the clock of the log service well enough.
+QUICK_READ_S = 0.5
 # Other entries and the log get this long past the deadline to say what they know.
 ASKING_GRACE_S = 0.5
 
@@ -263,7 +265,7 @@
 def _caught_up(state, event):
     state.log_readable = True
     state.current_as_of = max(state.current_as_of, event.asked_at)
-    state.clock_error_s = state.wall - event.log_time
+    _compare_clocks(state, event)
     appends.read_back_done(state, event.asked_at)
     agents.requeue_proven(state)
     for job in list(state.jobs.values()):
@@ -273,6 +275,20 @@
             takeover.resolve(state, job)
 
 
+def _compare_clocks(state, event):
+    """Take the difference to the log's clock from a quick read only.
+
+    A pause of this process between the answer and now looks like a fast clock, so
+    a large difference is believed only when a read that took little time shows it.
+    """
+    error_s = state.wall - event.log_time
+    quick = state.now - event.asked_at <= QUICK_READ_S
+    if quick or abs(error_s) <= state.settings.claims.max_clock_skew_s:
+        state.clock_error_s = error_s
+    else:
+        appends.read_now(state)
+
+
 def _read_failed(state, event):
     state.log_readable = False
     for job in list(state.jobs.values()):
--- a/turmericknot/dispatch/entry_state.py
+++ b/turmericknot/dispatch/entry_state.py
@@ -95,6 +95,7 @@
     address: EntryAddress
     stream: int | None = None
     refused: bool = False  # its address refused a connection
+    gone_at: float = float("inf")  # when that, or a newer incarnation, was seen
     seen: float = 0.0  # wall clock of its newest presence
 
 
--- a/turmericknot/dispatch/peers.py
+++ b/turmericknot/dispatch/peers.py
@@ -61,6 +61,7 @@
         _leave(state, peer)
     peer.stream = event.stream
     peer.refused = False
+    peer.gone_at = float("inf")
     state.peer_streams[event.stream] = peer
     liveness.peer_connected(state, event.stream, address)
     _replace_older(state, address)
@@ -74,8 +75,14 @@
         if older and peer.address.entry_id == address.entry_id:
             if peer.stream is not None:
                 _leave(state, peer)
-            peer.refused = True
-            ownership.peer_gone(state, peer)
+            _note_gone(state, peer)
+
+
+def _note_gone(state, peer):
+    """The process of this incarnation does not run any more."""
+    peer.refused = True
+    peer.gone_at = min(peer.gone_at, state.now)
+    ownership.peer_gone(state, peer)
 
 
 def disconnected(state, event):
@@ -100,8 +107,7 @@
         if peer.address.entry_id != event.entry_id or peer.stream is not None:
             continue
         if event.refused:
-            peer.refused = True
-            ownership.peer_gone(state, peer)
+            _note_gone(state, peer)
 
 
 def await_job(state, stream, message):
--- a/turmericknot/dispatch/submissions.py
+++ b/turmericknot/dispatch/submissions.py
@@ -188,8 +188,9 @@
             state.locates[request] = job.id
             job.unanswered.add(request)
             send(state, peer.stream, LocateJob(request, job.id))
-        else:
-            # It may have started tasks of the job before it was lost.
+        elif _may_run_unclaimed(job) or state.current_as_of <= peer.gone_at:
+            # It may have started tasks of the job before it was lost. The claims of
+            # an entry that was gone when the table was read are in the table.
             job.peers_complete = False
     phase = Phase.LOCATING if job.phase is Phase.LOCATING else Phase.REFUSING
     enter(state, job, phase, state.settings.claims.locate_timeout_s)
@@ -241,11 +242,16 @@
 
 def _answer_unknown(state, job):
     """Another entry may run the job, and nobody can say."""
-    reason = Reason.LOG_UNAVAILABLE
-    if job.refusal.reason in (Reason.KEY_EXPIRED, Reason.NOT_FOUND):
-        reason = job.refusal.reason
+    refusal = job.refusal
     job.final = False
-    answers.end(state, job, JobStatus.UNKNOWN, reason, job.refusal.detail)
+    answers.end(
+        state,
+        job,
+        JobStatus.UNKNOWN,
+        refusal.reason,
+        refusal.detail,
+        refusal.retry_after_s,
+    )
 
 
 def claim_timed_out(state, job):
