Keep slots for short work per team and stragglers out of the way

Cause: an entry whose long work was held back by the reserve still reported waiting work, so agents left idle slots with it while another entry queued; the larger reserve kept teams of long work from their share; a straggler got as much work as the others. Change: entries ask only for slots that would start something; the reserve beyond short_reserve counts within a team; stragglers form a group that is used when the backlog makes it worth while.

--- a/turmericknot/dispatch/admission.py
+++ b/turmericknot/dispatch/admission.py
@@ -4,7 +4,7 @@
 
 from turmericknot.dispatch.tasks import Reason
 
-from . import queues, teams
+from . import queues, reserve, teams
 
 SAFETY = 0.9  # share of the deadline that the prediction may use up
 RESIDUAL = 0.5  # part of the running tasks' work that is still to be done
@@ -106,7 +106,7 @@
     own_s, longest_s = _work(spec, shapes)
     rate = rate_of(state, team)
     if any(state.is_long(shape.estimator) for shape in set(shapes.values())):
-        rate = min(rate, max(1.0, state.long_slots()))
+        rate = min(rate, max(1.0, reserve.long_slots(state)))
     priority = teams.priority_of(team, spec)
     ahead_s = queues.waiting_work(team, priority)
     ahead_s += RESIDUAL * team.running_ms / 1e3
--- a/turmericknot/dispatch/demands.py
+++ b/turmericknot/dispatch/demands.py
@@ -11,12 +11,13 @@
     They are sent when the entry goes from no waiting work to waiting work or back;
     all other changes travel with ``Assign``.
     """
-    if state.waiting:
+    asked = state.asked()
+    if asked:
         state.idle_since = None
         if state.demanding:
             return []
         state.demanding = True
-        return _tell(state, _may_gain)
+        return _tell(state, asked, _may_gain)
     if not state.demanding:
         return []
     if state.idle_since is None:
@@ -24,18 +25,18 @@
     if now - state.idle_since < DEMAND_END_S:
         return []
     state.demanding = False
-    return _tell(state, lambda agent: agent.told_waiting)
+    return _tell(state, 0, lambda agent: agent.told_waiting)
 
 
 def _may_gain(agent):
     return agent.usable and not agent.told_waiting and agent.window < agent.slots
 
 
-def _tell(state, wanted):
-    message = Demand(state.waiting, state.entitlement)
+def _tell(state, asked, wanted):
+    message = Demand(asked, state.entitlement)
     told = []
     for stream, agent in state.agents.items():
         if wanted(agent):
-            agent.told_waiting = state.waiting > 0
+            agent.told_waiting = asked > 0
             told.append((stream, message))
     return told
--- a/turmericknot/dispatch/estimates.py
+++ b/turmericknot/dispatch/estimates.py
@@ -9,6 +9,7 @@
 MAX_BUCKET = 24  # sizes from 2**24 ms (4.6 hours) share one estimator
 DEFAULT_MS = 200.0  # without declaration or observation; middle of the usual range
 MEDIAN_STEP = 0.02  # relative step of the running median
+MEDIAN_PRIOR = 20.0  # observations that the default is worth; short tasks end first
 
 
 class Estimator:
@@ -79,10 +80,8 @@
     """Move the running median one step towards a value."""
     if run_ms <= 0:
         return
-    if median.count == 0:
-        median.value = run_ms
     median.count += 1
-    step = max(MEDIAN_STEP, 1.0 / median.count)
+    step = max(MEDIAN_STEP, 1.0 / (median.count + MEDIAN_PRIOR))
     if run_ms > median.value:
         median.value *= 1.0 + step
     elif run_ms < median.value:
--- a/turmericknot/dispatch/placement.py
+++ b/turmericknot/dispatch/placement.py
@@ -14,6 +14,9 @@
 SLOWNESS_STEP = 0.05  # weight of the newest run-time ratio
 MAX_RATIO = 20.0  # one very slow task must not mark a worker for long
 CHOICE_PICKS = 8  # picks that share one choice of a failure domain, at most
+SLOW = 2.0  # run-time ratio from which a worker is a straggler
+SLOW_END = 1.5  # ratio below which it is none any more
+SLOW_PROBES = 0.002  # part of the tasks that go to a straggler all the same
 DOMAIN_SLACK = 1e-9
 
 
@@ -34,6 +37,7 @@
         "stream",
         "hello",
         "domain",
+        "group",
         "region",
         "slots",
         "processors",
@@ -53,6 +57,7 @@
         "position",
         "tasks",
         "slowness",
+        "slow",
         "health",
         "told_waiting",
     )
@@ -61,6 +66,7 @@
         self.stream = stream
         self.hello = hello
         self.domain = domain
+        self.group = domain  # the domain, or the stragglers of all domains
         self.region = hello.region
         self.slots = hello.slots
         self.processors = hello.processors  # what the tasks of this entry leave
@@ -79,6 +85,7 @@
         self.pool = None
         self.position = -1
         self.tasks = {}  # (job, index) -> Started
+        self.slow = False
         self.slowness = 1.0  # run time over the estimate, smoothed
         self.health = Health()
         self.told_waiting = False
@@ -107,6 +114,8 @@
         "pick",
         "rng",
         "pooled",
+        "backlog",
+        "slow",
         "choice",
         "choice_claimed",
         "choice_left",
@@ -118,6 +127,8 @@
         self.pick, self.windowed = POLICIES[policy]
         self.rng = rng
         self.pooled = 0  # agents in pools
+        self.backlog = 0  # waiting tasks of the entry
+        self.slow = Domain("stragglers")  # a group of their own
         self.choice = None  # pool chosen last, and for how many more picks
         self.choice_claimed = False
         self.choice_left = 0
@@ -133,29 +144,28 @@
 
 def refresh(state, agent):
     """Bring the pools in line with an agent whose state changed."""
-    agent.usable = not (agent.draining or agent.suspect)
+    _leave_pool(state, agent)
     _count_out(agent)
+    agent.usable = not (agent.draining or agent.suspect)
     agent.open = agent.usable and not agent.quarantined
+    agent.group = state.slow if agent.slow else agent.domain
     if agent.open:
         agent.counted = agent.window
-        agent.domain.window += agent.window
-        agent.domain.running += agent.running
-    wanted = None
-    domain = agent.domain
-    if agent.open and (agent.running < agent.window or not state.windowed):
-        wanted = domain.rostered if agent.rostered else domain.others
-    if wanted is not agent.pool:
-        _leave_pool(state, agent)
-        if wanted is not None:
-            _enter_pool(state, agent, wanted)
+        agent.group.window += agent.window
+        agent.group.running += agent.running
+        if agent.running < agent.window or not state.windowed:
+            _enter_pool(state, agent)
     state.choice_left = 0
 
 
-def _enter_pool(state, agent, pool):
+def _enter_pool(state, agent):
+    group = agent.group
+    pool = group.rostered if agent.rostered else group.others
     agent.pool = pool
     agent.position = len(pool)
     pool.append(agent)
-    state.pooled += 1
+    if group is not state.slow:
+        state.pooled += 1
 
 
 def remove(state, agent):
@@ -166,8 +176,8 @@
 
 def _count_out(agent):
     if agent.open:
-        agent.domain.window -= agent.counted
-        agent.domain.running -= agent.running
+        agent.group.window -= agent.counted
+        agent.group.running -= agent.running
     agent.open = False
     agent.counted = 0
 
@@ -181,14 +191,15 @@
         pool[agent.position] = last
         last.position = agent.position
     agent.pool = None
-    state.pooled -= 1
+    if agent.group is not state.slow:
+        state.pooled -= 1
 
 
 def started(state, agent, shape, count):
     """Take slots and resources of an agent."""
     agent.running += count
     if agent.open:
-        agent.domain.running += count
+        agent.group.running += count
     if not shape.plain:
         _use(agent, shape, count)
     if agent.running >= agent.window and state.windowed:
@@ -202,11 +213,9 @@
         _use(agent, shape, -1)
     if not agent.open:
         return
-    domain = agent.domain
-    domain.running -= 1
+    agent.group.running -= 1
     if agent.pool is None and agent.running < agent.window:
-        pool = domain.rostered if agent.rostered else domain.others
-        _enter_pool(state, agent, pool)
+        _enter_pool(state, agent)
 
 
 def _use(agent, shape, count):
@@ -215,12 +224,53 @@
     agent.accelerators -= shape.accelerators * count
 
 
-def observe_run(agent, run_ms, estimate_ms):
+def observe_run(state, agent, run_ms, estimate_ms):
     """Compare a run time with what the task takes on other workers."""
     ratio = run_ms / estimate_ms
     if ratio > MAX_RATIO:
         ratio = MAX_RATIO
     agent.slowness += SLOWNESS_STEP * (ratio - agent.slowness)
+    if agent.slowness > (SLOW_END if agent.slow else SLOW):
+        if not agent.slow:
+            agent.slow = True
+            refresh(state, agent)
+    elif agent.slow:
+        agent.slow = False
+        refresh(state, agent)
+
+
+def has_room(state):
+    """Tell whether any agent may get a task now."""
+    return state.pooled > 0 or _straggler_helps(state)
+
+
+def _straggler_helps(state):
+    """Tell whether a slow worker is better than to wait for the next free slot.
+
+    It is not until the work that waits takes longer than a slow worker needs in
+    addition.
+    """
+    group = state.slow
+    pool = group.rostered or group.others
+    if not pool:
+        return False
+    granted = sum(domain.window for domain in state.domains.values())
+    return state.backlog > (pool[0].slowness - 1.0) * granted
+
+
+def _straggler_pool(state, claimed):
+    """Return the pool of stragglers when they may get a task, or None.
+
+    A few tasks go to them in any case: they show when one has become faster.
+    """
+    group = state.slow
+    pool = group.rostered if claimed else group.rostered or group.others
+    if not pool:
+        return None
+    probed = state.pooled and state.rng.random() < SLOW_PROBES
+    if probed or not state.pooled and _straggler_helps(state):
+        return pool
+    return None
 
 
 def capacity(agent, shape):
@@ -265,7 +315,7 @@
 
 def place(state, shape, claimed, count):
     """Return one agent and how many of ``count`` tasks it takes, or None."""
-    pool = choose_pool(state, claimed)
+    pool = _straggler_pool(state, claimed) or choose_pool(state, claimed)
     if pool is None:
         return None
     agent = state.pick(state, pool, shape)
@@ -274,7 +324,7 @@
     if count > 1:
         # A large batch is spread evenly over the agents that are free.
         if state.windowed:
-            count = 1 + (count - 1) // state.pooled
+            count = 1 + (count - 1) // max(1, state.pooled)
             count = min(count, agent.window - agent.running)
         else:
             count = 1
@@ -299,7 +349,7 @@
     second = pool[int(random() * size)]
     # Inlined _load: this runs for every placed task.
     if (second.running + 1) * second.slowness < (first.running + 1) * first.slowness:
-        return second
+        first = second
     return first
 
 
--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -4,10 +4,6 @@
 
 from . import estimates, fairshare, placement, quarantine, teams, usage
 
-SHORT_HEADROOM = 2.5  # slots kept for short work over what it uses
-SHORT_RESERVE_MAX = 0.6  # part of the slots that the headroom may take
-SHORT_USE_STEP = 0.025  # per step of 50 ms: follows the use within about 2 s
-
 
 class SchedulerState:
     """State of the scheduling policy of one entry."""
@@ -31,9 +27,10 @@
         "deadlines",
         "sequence",
         "waiting",
+        "held",
+        "unfit",
         "long_running",
         "short_seen_at",
-        "short_use",
         "slots",
         "totals",
         "totals_version",
@@ -69,9 +66,12 @@
         self.deadlines = []  # heap of (time to look at it, sequence, job)
         self.sequence = 0
         self.waiting = 0
+        # Waiting tasks at the last periodic step that the reserve or a limit holds
+        # back, and those that fit none of the free slots.
+        self.held = 0
+        self.unfit = 0
         self.long_running = 0
         self.short_seen_at = float("-inf")
-        self.short_use = 0.0  # slots that short work uses, smoothed
         self.slots = 0  # of all agents that are not draining
         self.totals = dict.fromkeys(teams.RESOURCES, 0)
         self.totals_version = 0
@@ -86,28 +86,19 @@
         """Tell whether an estimator's tasks count as long work at this entry."""
         return estimates.is_long(estimator, self.median, self.policy.long_factor)
 
-    def long_slots(self):
-        """Return the slots that long work may hold while there is short work."""
-        granted = self.granted()
-        reserve = self.policy.short_reserve * granted
-        wanted = min(SHORT_RESERVE_MAX * granted, SHORT_HEADROOM * self.short_use)
-        return granted - max(reserve, wanted)
-
     def granted(self):
         """Return the slots of all agents that take work."""
         return sum(domain.window for domain in self.placement.domains.values())
 
-    def sample_short(self):
-        """Follow the number of slots that short work uses."""
-        running = sum(domain.running for domain in self.placement.domains.values())
-        short = running - self.long_running
-        self.short_use += SHORT_USE_STEP * (short - self.short_use)
+    def asked(self):
+        """Return the waiting tasks that further slots would let start.
 
-    def long_room(self, now):
-        """Return how many more long tasks may start."""
-        if now - self.short_seen_at > self.policy.short_memory_s:
-            return teams.UNLIMITED
-        return int(self.long_slots()) - self.long_running
+        Tasks that the reserve for short work or a limit keeps from starting are left
+        out: agents give idle slots of an entry away only when it asks for none.
+        """
+        if placement.has_room(self.placement):
+            return min(self.waiting, self.unfit)
+        return max(0, self.waiting - self.held)
 
     def update_cost(self, shape):
         """Bring a shape's cost in line with the present size of the federation."""
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -15,6 +15,7 @@
     placement,
     quarantine,
     queues,
+    reserve,
     retries,
     starts,
     teams,
@@ -262,13 +263,12 @@
         return
     state.stepped_at = now
     starts.watch_long(state, now)
-    state.sample_short()
+    reserve.sample(state)
     for team in state.teams.values():
         if team.deferred:
             for job, indexes in retries.release(team, now - (last or now)):
                 _enqueue(state, job, indexes, now, first=True)
-    for reason in list(state.parked):
-        starts.unpark(state, reason)
+    starts.unpark_all(state)
 
 
 def _latest_start(job):
@@ -311,10 +311,11 @@
 
 def waiting(state, stream):
     """Return the waiting tasks and the entitlement that an Assign carries."""
+    asked = state.asked()
     agent = state.agents.get(stream)
     if agent is not None:
-        agent.told_waiting = state.waiting > 0
-    return state.waiting, state.entitlement
+        agent.told_waiting = asked > 0
+    return asked, state.entitlement
 
 
 def spec_for(state, job, index):
--- a/turmericknot/dispatch/starts.py
+++ b/turmericknot/dispatch/starts.py
@@ -1,6 +1,15 @@
 """Choose what starts next: team by fair share, queue, job, then agents."""
 
-from . import estimates, fairshare, placement, quarantine, queues, retries, teams
+from . import (
+    estimates,
+    fairshare,
+    placement,
+    quarantine,
+    queues,
+    reserve,
+    retries,
+    teams,
+)
 
 # Why a team with waiting work could start nothing; it is tried again when that
 # may have changed, and at the latest with the next periodic step.
@@ -30,7 +39,8 @@
     _requeue(state)
     _probe(state, assigned, now)
     fair = state.fair
-    while state.placement.pooled:
+    state.placement.backlog = state.waiting
+    while placement.has_room(state.placement):
         team = fairshare.pop(fair, now)
         if team is None:
             break
@@ -57,6 +67,18 @@
             fairshare.push(state.fair, team)
 
 
+def unpark_all(state):
+    """Try all teams again that were set aside; note how much waited for what."""
+    waiting = {
+        reason: sum(team.waiting for team in parked)
+        for reason, parked in state.parked.items()
+    }
+    state.unfit = waiting.get(NO_FIT, 0)
+    state.held = waiting.get(LONG, 0) + waiting.get(CAPPED, 0)
+    for reason in waiting:
+        unpark(state, reason)
+
+
 def _start_from(state, team, assigned, now):
     """Start tasks of the team's first job that may run; return why none could."""
     blocked = CAPPED
@@ -67,7 +89,7 @@
         allowed = teams.room(team, shape)
         long = state.is_long(shape.estimator)
         if long and allowed > 0:
-            allowed = min(allowed, state.long_room(now))
+            allowed = min(allowed, reserve.long_room(state, team, now))
             blocked = LONG if allowed <= 0 else blocked
         if allowed <= 0:
             continue
@@ -107,7 +129,7 @@
     job.started.update(indexes)
     _account(state, team, queue.shape, total, now)
     if long:
-        state.long_running += total
+        reserve.long_changed(state, team, total)
     identifier = job.spec.job
     first = 0
     for agent, count in places:
@@ -180,7 +202,7 @@
     placement.ended(state.placement, agent, batch.shape)
     batch.live -= 1
     if batch.long:
-        state.long_running -= 1
+        reserve.long_changed(state, team, -1)
         if LONG in state.parked:
             unpark(state, LONG)
     if not batch.shape.plain and NO_FIT in state.parked:
@@ -197,13 +219,13 @@
         batch = watched.popleft()
         if batch.live > 0:
             batch.long = True
-            state.long_running += batch.live
+            reserve.long_changed(state, batch.team, batch.live)
 
 
 def observe(state, agent, batch, run_ms):
     """Learn from the run time of a finished task."""
     estimator = batch.shape.estimator
     if estimator.count >= estimates.TRUSTED_SAMPLES:
-        placement.observe_run(agent, run_ms, estimator.mean)
+        placement.observe_run(state.placement, agent, run_ms, estimator.mean)
     estimates.observe(estimator, run_ms)
     estimates.observe_median(state.median, run_ms)
--- a/turmericknot/dispatch/teams.py
+++ b/turmericknot/dispatch/teams.py
@@ -30,6 +30,8 @@
         "running",
         "running_tasks",
         "running_ms",
+        "long_running",
+        "short_use",
         "processors",
         "memory_mb",
         "accelerators",
@@ -57,6 +59,8 @@
         self.waiting = 0  # tasks
         self.running = 0.0  # slots, or more where another resource dominates
         self.running_tasks = 0
+        self.long_running = 0
+        self.short_use = 0.0  # slots that short tasks use, smoothed
         self.running_ms = 0.0  # estimated work of the running tasks
         self.processors = 0.0
         self.memory_mb = 0
