Test the policy; fix faults that the tests showed

Cause: tests of placement, fairness and admission found five faults. Change: a parked team that gets other work is tried again at once; baselines place beyond twice the window; the retry budget grows from time zero on; a mere declaration counts for at most half of the deadline; the demand goes to few agents first.

--- a/turmericknot/dispatch/admission.py
+++ b/turmericknot/dispatch/admission.py
@@ -9,6 +9,7 @@
 SAFETY = 0.9  # share of the deadline that the prediction may use up
 RESIDUAL = 0.5  # part of the running tasks' work that is still to be done
 OBSERVED = 5  # observations from which an estimate may refuse a job by itself
+UNKNOWN_SHARE = 0.5  # of the deadline: most that an unmeasured task counts for
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 30.0
 RETRY_NO_WORKERS_S = 1.0
@@ -93,7 +94,7 @@
     deadline_s = spec.deadline_s or team.class_deadline_s(spec.task_class)
     if not deadline_s:
         return None
-    completion_s = predict(state, team, spec, shapes)
+    completion_s = predict(state, team, spec, shapes, deadline_s)
     if completion_s <= deadline_s * SAFETY:
         return None
     detail = f"predicted to take {completion_s:.2f} s of {deadline_s:.2f} s"
@@ -101,9 +102,9 @@
     return Refusal(Reason.OVERLOAD, detail, _jitter(state, late_s))
 
 
-def predict(state, team, spec, shapes):
+def predict(state, team, spec, shapes, deadline_s):
     """Return the seconds until the last task of a new job is expected to end."""
-    own_s, longest_s = _work(spec, shapes)
+    own_s, longest_s = _work(spec, shapes, deadline_s)
     rate = rate_of(state, team)
     if any(state.is_long(shape.estimator) for shape in set(shapes.values())):
         rate = min(rate, max(1.0, reserve.long_slots(state)))
@@ -114,24 +115,35 @@
     return max(0.0, free_s) + longest_s
 
 
-def _work(spec, shapes):
+def _work(spec, shapes, deadline_s):
     """Return a job's work in slot-seconds and the time of its longest task."""
+    limit_s = UNKNOWN_SHARE * deadline_s
     if None in shapes:
-        shape = shapes[None]
-        total = len(spec.tasks) * shape.cost * shape.estimator.mean
+        total = len(spec.tasks) * _cost_s(shapes[None], limit_s)
     else:
-        total = sum(shape.cost * shape.estimator.mean for shape in shapes.values())
-    longest = max(_known(shape.estimator) for shape in shapes.values())
-    return total / 1e3, longest / 1e3
+        total = sum(_cost_s(shape, limit_s) for shape in shapes.values())
+    longest = max(_longest_s(shape, limit_s) for shape in set(shapes.values()))
+    return total, longest
 
 
-def _known(estimator):
-    """Return a high estimate of one task, 0 while it is only a declaration.
+def _cost_s(shape, limit_s):
+    """Return the slot-seconds of a task; a mere declaration counts up to a limit.
 
     A wrong declaration must not keep a class out for ever: without any start
     nothing would be learned.
     """
-    return estimator.high if estimator.count >= OBSERVED else 0.0
+    estimator = shape.estimator
+    seconds = estimator.mean / 1e3
+    if estimator.count < OBSERVED:
+        seconds = min(seconds, limit_s)
+    return shape.cost * seconds
+
+
+def _longest_s(shape, limit_s):
+    estimator = shape.estimator
+    if estimator.count < OBSERVED:
+        return min(estimator.mean / 1e3, limit_s)
+    return estimator.high / 1e3
 
 
 def fastest_s(shape):
--- a/turmericknot/dispatch/placement.py
+++ b/turmericknot/dispatch/placement.py
@@ -295,7 +295,7 @@
         state.choice_left -= 1
         return pool
     best = None
-    best_share = -1.0
+    best_share = float("-inf")
     for domain in state.domains.values():
         pool = domain.rostered
         if not pool and not claimed:
--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -40,6 +40,7 @@
         "stepped_at",
         "demanding",
         "idle_since",
+        "asked_at",
     )
 
     def __init__(self, settings, rng):
@@ -81,6 +82,7 @@
         self.stepped_at = None
         self.demanding = False
         self.idle_since = None
+        self.asked_at = float("-inf")
 
     def is_long(self, estimator):
         """Tell whether an estimator's tasks count as long work at this entry."""
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -94,7 +94,8 @@
         share = usage.region_share(state.usage, now)
         fairshare.localise(state.fair, team, share)
         fairshare.activate(state.fair, team, now)
-        fairshare.push(state.fair, team)
+    if not team.heap_sequence:
+        fairshare.push(state.fair, team)  # it was idle, or nothing of it could start
 
 
 def remove_job(state, job, now):
@@ -261,12 +262,13 @@
     last = state.stepped_at
     if last is not None and now - last < STEP_INTERVAL_S:
         return
+    elapsed_s = 0.0 if last is None else now - last
     state.stepped_at = now
     starts.watch_long(state, now)
     reserve.sample(state)
     for team in state.teams.values():
         if team.deferred:
-            for job, indexes in retries.release(team, now - (last or now)):
+            for job, indexes in retries.release(team, elapsed_s):
                 _enqueue(state, job, indexes, now, first=True)
     starts.unpark_all(state)
 
