--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -123,9 +123,8 @@
     assert len(site.start()) == 56
     site.add(24)
     assert len(site.start()) == 24
-    site.now = 6.0  # no short work for 5 s: long work may take every slot
-    for index in range(24):
-        for stream, agent in site.state.agents.items():
-            if (job := (71).to_bytes(16, "big")) and (job, index) in agent.tasks:
-                site.finish((stream, job, index))
-    assert site.state.long_running + len(site.start()) >= 56
+    for stream, agent in site.state.agents.items():
+        for job, index in list(agent.tasks):
+            site.finish((stream, job, index))
+    site.now = 6.0  # without short work for 5 s long work may take every slot
+    assert len(site.start()) == 80
