--- a/tests/federation.py
+++ b/tests/federation.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -221,7 +222,9 @@
     (tree / "teams").mkdir(parents=True, exist_ok=True)
     (tree / "federation.toml").touch()
     for name, settings in teams.items():
-        (tree / "teams" / f"{name}.toml").write_text(tomli_w.dumps(settings))
+        path = tree / "teams" / f"{name}.toml"
+        present = tomllib.loads(path.read_text()) if path.exists() else {}
+        path.write_text(tomli_w.dumps({**present, **settings}))
     command = [sys.executable, "-m", "turmericknot", "config", "publish", str(tree)]
     command += ["--log_url", fed.log_url]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=30)
