--- a/tests/agent/test_connection.py
+++ b/tests/agent/test_connection.py
@@ -1,5 +1,6 @@
 """The connection of a slot against a server that misbehaves."""
 
+import re
 import socket
 import threading
 
@@ -19,8 +20,23 @@
     return client.run(RunRequest("lease", lease_s, b"j" * 16, 0, b"{}"))
 
 
+def read_request(connection):
+    """Read a whole request; its head and body may arrive apart."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += connection.recv(65536)
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = int(re.search(rb"(?i)content-length: (\d+)", head)[1])
+    while len(body) < length:
+        body += connection.recv(65536)
+
+
 def reply(connection, output):
-    connection.recv(65536)
+    read_request(connection)
+    answer(connection, output)
+
+
+def answer(connection, output):
     body = OK % output
     connection.sendall(HEAD % len(body) + body)
 
@@ -73,9 +89,9 @@
     resume = threading.Event()
 
     def late(connection):
-        connection.recv(65536)
+        read_request(connection)
         resume.wait(5)
-        reply(connection, b"bGF0ZQ==")
+        answer(connection, b"bGF0ZQ==")
 
     client = create_slot_client(serve(late, lambda c: reply(c, b"bmV4dA==")))
     with pytest.raises(TargetLost):
@@ -86,7 +102,7 @@
 
 def test_connection_that_breaks_after_the_request_is_a_lost_task(serve):
     """Guards against a second start of a task that may have started."""
-    client = create_slot_client(serve(lambda connection: connection.recv(65536)))
+    client = create_slot_client(serve(read_request))
     with pytest.raises(TargetLost):
         run(client)
 
