--- a/tests/management/test_cli.py
+++ b/tests/management/test_cli.py
@@ -89,6 +89,7 @@
         (["version", "now"], "Usage: turmericknot version"),
         (["status", "127.0.0.1:1", "--jsno"], "Usage: turmericknot status"),
         (["status", "nowhere"], "host:port"),
+        (["status", "--json=maybe"], "allowed: True or False"),
         (["job", "wait", "carts", "k", "soon"], "EXPIRES_AT: found 'soon'"),
         (["entry", "run", "absent.toml"], "No such file"),
         (["job", "submit", "absent.toml"], "No such file"),
@@ -109,6 +110,16 @@
     assert (code, fake_entry.requests) == (2, [])
 
 
+def test_switch_before_an_argument(run, fake_entry, job_file):
+    """Guards against fire taking the file for the value of the switch."""
+    fake_entry.body = {"status": "complete", "claimed": False}
+    arguments = ("--entry", fake_entry.address)
+    code, out, _ = run("job", "submit", "--json", job_file, *arguments)
+    assert (code, msgspec.json.decode(out)) == (0, fake_entry.body)
+    code, out, _ = run("job", "submit", "--json=False", job_file, *arguments)
+    assert ["claimed", "no"] in [line.split() for line in out.splitlines()]
+
+
 @pytest.mark.parametrize(
     "status, answer, code",
     [
--- a/turmericknot/management/cli.py
+++ b/turmericknot/management/cli.py
@@ -13,7 +13,13 @@
 
 from . import exit_codes
 from .help import PROGRAM, command_help, group_help, usage
-from .registry import Invocation, build_tree, execute, load_commands
+from .registry import (
+    Invocation,
+    build_tree,
+    execute,
+    load_commands,
+    set_switches,
+)
 
 HELP_WORDS = ("--help", "-h", "help")
 
@@ -36,7 +42,7 @@
     except BrokenPipeError:
         # The reader of our output has gone; nothing more can be written there.
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
-        return exit_codes.FAILED
+        return exit_codes.BROKEN_PIPE
 
 
 def _run(arguments):
@@ -80,7 +86,7 @@
         with contextlib.redirect_stderr(quiet):
             invocation = fire.Fire(
                 build_tree(commands),
-                command=arguments,
+                command=set_switches(commands[path], arguments),
                 name=PROGRAM,
                 serialize=lambda result: None,
             )
--- a/turmericknot/management/commands/jobs.py
+++ b/turmericknot/management/commands/jobs.py
@@ -100,8 +100,9 @@
 def _print_answer(answer):
     """Print the state of the job and the first results."""
     fields = ("status", "reason", "detail", "retry_after_s", "claimed", "job")
-    shown = [name for name in fields if answer.get(name) not in (None, "", 0)]
-    rows = [(name, answer[name]) for name in shown]
+    rows = [(name, answer.get(name)) for name in fields]
+    # False is shown: ``claimed`` matters when it is false.
+    rows = [row for row in rows if row[1] is False or row[1]]
     output.print_table(("field", "value"), rows)
     results = answer.get("results") or []
     if not results:
--- a/turmericknot/management/commands/status.py
+++ b/turmericknot/management/commands/status.py
@@ -37,8 +37,8 @@
 def print_status(status):
     """Print the status of an entry as tables."""
     fields, tables = [], {}
+    histograms = status.pop("histograms", None)
     _sort_out("", status, fields, tables)
-    histograms = tables.pop("histograms", None)
     output.print_table(("field", "value"), fields)
     for name, value in tables.items():
         _print_section(name, value)
--- a/turmericknot/management/exit_codes.py
+++ b/turmericknot/management/exit_codes.py
@@ -17,7 +17,9 @@
 NOT_RUN = 3
 UNKNOWN = 4
 UNREACHABLE = 5
-INTERRUPTED = 130  # as shells report a command that was ended by SIGINT
+# As shells report a command that was ended by SIGINT or SIGPIPE.
+INTERRUPTED = 130
+BROKEN_PIPE = 141
 
 MEANINGS = {
     OK: "success; a submitted job is complete, or accepted when not waited for",
--- a/turmericknot/management/registry.py
+++ b/turmericknot/management/registry.py
@@ -3,10 +3,13 @@
 import functools
 import importlib
 import importlib.util
+import inspect
 from dataclasses import dataclass, field
 
 from fire import decorators
 
+from turmericknot.core.exceptions import UsageError
+
 # Each module registers its commands when it is imported. One that is not part of
 # this build is left out.
 COMMAND_MODULES = (
@@ -65,18 +68,35 @@
     def parse(*arguments, **options):
         return Invocation(function, arguments, options)
 
-    switches = {
-        name: _to_switch
-        for name, default in (function.__kwdefaults__ or {}).items()
-        if default is False
-    }
     parse = decorators.SetParseFn(str)(parse)
-    return decorators.SetParseFns(**switches)(parse)
+    return decorators.SetParseFns(**dict.fromkeys(switches(function), _to_switch))(
+        parse
+    )
+
+
+def switches(function):
+    """Return the names of the options of a command that take no value."""
+    defaults = inspect.unwrap(function).__kwdefaults__ or {}
+    return [name for name, default in defaults.items() if default is False]
+
+
+def set_switches(function, arguments):
+    """Return the arguments with ``--name`` as ``--name=True`` for each switch.
+
+    fire would take the word after a bare switch, such as a file, for its value.
+    """
+    names = {f"--{name}".replace("_", "-") for name in switches(function)}
+    return [
+        f"{word}=True" if word.replace("_", "-") in names else word
+        for word in arguments
+    ]
 
 
 def _to_switch(text):
-    """Return the boolean that fire writes for ``--name`` and ``--noname``."""
-    return text != "False"
+    """Return the boolean in ``--name=True`` or ``--name=False``."""
+    if text.lower() not in ("true", "false"):
+        raise UsageError(f"found {text!r}; allowed: True or False")
+    return text.lower() == "true"
 
 
 def load_commands():
