Keep a partly read configuration out of force after a gap

Change: a process counts as caught up only while no record is missing. Adds tools/measure_configtree.py.

--- /dev/null
+++ b/tools/measure_configtree.py
@@ -0,0 +1,120 @@
+"""Measure the merge of the configuration tree; prints one ``key=value`` per line.
+
+Run ``python tools/measure_configtree.py [--teams 250] [--records 20000]``.
+"""
+
+import argparse
+import random
+import time
+import tracemalloc
+
+from turmericknot.configtree.follower import create_follower, export_copy, page_read
+from turmericknot.configtree.records import Change, encode
+from turmericknot.configtree.schema import team_config
+from turmericknot.configtree.tree import MergeState, apply_record, to_snapshot
+from turmericknot.platform.log_client import LogPage, LogRecord
+
+
+def typical_team(rng):
+    """Return a team's subtree with every key set and five classes."""
+    names = ["price-check", "reserve", "refill", "grain", "colour"]
+    return {
+        "allowance": rng.randint(1, 690),
+        "weight": rng.choice([1.0, 2.0, 4.0]),
+        "priorities": {name: rng.randint(0, 9) for name in names},
+        "limits": {
+            "max_running": 500,
+            "max_queued": 20_000,
+            "max_tasks_per_job": 1500,
+            "max_processors": 512.0,
+            "max_memory_mb": 1_000_000,
+            "max_accelerators": 16,
+        },
+        "classes": {
+            name: {"deadline_s": 5.0, "estimate_ms": 250.0, "idempotent": True}
+            for name in names
+        },
+        "retry": {"budget_share": 0.1},
+        "deadline_s": 30.0,
+    }
+
+
+def create_records(teams, count, rng):
+    """Return encoded changes: all teams first, then changes of single values."""
+    records = []
+    for offset in range(count):
+        name = f"teams.team-{offset % teams:03d}"
+        if offset < teams:
+            sets = {name: typical_team(rng)}
+        else:
+            sets = {f"{name}.allowance": rng.randint(1, 690)}
+        records.append(encode(Change(rng.randbytes(12), offset, "operator", sets)))
+    return records
+
+
+def timed(call):
+    """Return the CPU seconds of a call and its result."""
+    start = time.process_time()
+    result = call()
+    return time.process_time() - start, result
+
+
+def merge_all(records):
+    """Return the state after all records."""
+    state = MergeState()
+    for offset, data in enumerate(records):
+        apply_record(state, offset, 0.0, data)
+    return state
+
+
+def start_from_snapshot(state):
+    """Return a follower that began at a trimmed log with one snapshot."""
+    follower = create_follower(random.Random(1))
+    data = encode(to_snapshot(state, b"s" * 12))
+    offset = state.next_offset
+    record = LogRecord(offset, 0.0, data)
+    page_read(follower, LogPage(offset, offset + 1, 0.0, 0.0, [record]))
+    return follower
+
+
+def measure(teams, count):
+    """Return the figures as a dict."""
+    records = create_records(teams, count, random.Random(7))
+    seconds, state = timed(lambda: merge_all(records))
+    if state.version != count:
+        raise SystemExit("the merge skipped records")
+    snapshot = encode(to_snapshot(state, b"s" * 12))
+    start_s, follower = timed(lambda: start_from_snapshot(state))
+    typed_s, _ = timed(
+        lambda: [team_config(state.tree, name) for name in state.tree["teams"]]
+    )
+    tracemalloc.start()
+    merged = merge_all(records)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return {
+        "teams": len(merged.tree["teams"]),
+        "records": count,
+        "records_per_s": count / seconds,
+        "bytes_per_change": sum(map(len, records[teams:])) / max(1, count - teams),
+        "bytes_per_team": sum(map(len, records[:teams])) / teams,
+        "snapshot_bytes": len(snapshot),
+        "peer_copy_bytes": len(export_copy(follower)),
+        "start_from_snapshot_ms": start_s * 1000,
+        "typed_view_ms": typed_s * 1000,
+        "tree_memory_kb": memory / 1024,
+    }
+
+
+def main():
+    """Print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--teams", type=int, default=250)
+    parser.add_argument("--records", type=int, default=20_000)
+    arguments = parser.parse_args()
+    for key, value in measure(arguments.teams, arguments.records).items():
+        print(f"{key}={value:.1f}" if isinstance(value, float) else f"{key}={value}")
+
+
+if __name__ == "__main__":
+    main()
--- a/turmericknot/configtree/follower.py
+++ b/turmericknot/configtree/follower.py
@@ -53,7 +53,7 @@
     next_offset: int = 0
     gap_end: int | None = None
     pending: list = field(default_factory=list)
-    caught_up: bool = False  # has been at the end of the stream once
+    caught_up: bool = False  # has once held what the whole stream gives
     # Log time of the newest snapshot, or of the first change when there is none.
     snapshot_time: float | None = None
     asked_snapshot_at: float = float("-inf")
@@ -85,7 +85,8 @@
         if record.offset > state.next_offset:
             offset_trimmed(state, record.offset)
         outcomes += _record_read(state, record.offset, record.time, record.data)
-    if state.next_offset >= page.next_offset:
+    # Without the records of a gap the merge may be far behind the stream.
+    if state.complete and state.next_offset >= page.next_offset:
         state.caught_up = True
     state.history.extend(outcomes)
     return outcomes
