--- a/tests/configtree/test_merge_machine.py
+++ b/tests/configtree/test_merge_machine.py
@@ -100,6 +100,7 @@
         self.followers = [create_follower(self.rng) for _ in range(PROCESSES)]
         self.in_force = [(0, {})] * PROCESSES
         self.sent = []
+        self.handed_out = []  # trees that must not change any more
 
     def append(self, data):
         self.log.append((self.now, data))
@@ -131,7 +132,8 @@
             return
         version, tree = taken
         assert version > self.in_force[process][0], "a version went back"
-        self.in_force[process] = (version, tree)  # must not change afterwards
+        self.in_force[process] = (version, tree)
+        self.handed_out.append((version, tree))
 
     def write_snapshot(self, process):
         follower = self.followers[process]
@@ -142,21 +144,21 @@
     @rule(
         process=processes,
         current=st.booleans(),
-        sets=sets,
-        deletes=deletes,
+        changes=st.lists(st.tuples(sets, deletes), min_size=1, max_size=3),
         copies=st.integers(1, 2),
         ahead=st.sampled_from([0] * 7 + [50]),
     )
-    def publish(self, process, current, sets, deletes, copies, ahead):
-        """An operator sees what one process has; a lost answer makes two copies."""
+    def publish(self, process, current, changes, copies, ahead):
+        """Operators race from one base; a lost answer makes two copies."""
         if current and not self.log_down:
             self.read(process)
         base = self.followers[process].merge.version + ahead
-        record_id = self.rng.randbytes(12)
-        data = encode(Change(record_id, base, "operator", sets, deletes))
-        self.sent.append(data)
-        for _ in range(copies):
-            self.append(data)
+        for to_set, to_delete in changes:
+            record_id = self.rng.randbytes(12)
+            data = encode(Change(record_id, base, "operator", to_set, to_delete))
+            self.sent.append(data)
+            for _ in range(copies):
+                self.append(data)
 
     @precondition(lambda self: self.sent)
     @rule(garbage=st.binary(max_size=5), newest=st.booleans())
@@ -231,8 +233,8 @@
         self.in_force[process] = (0, {})
 
     @invariant()
-    def in_force_is_a_version_of_the_model(self):
-        for version, tree in getattr(self, "in_force", []):
+    def handed_out_trees_are_versions_of_the_model(self):
+        for version, tree in getattr(self, "handed_out", []):
             assert flatten(tree) == self.model.accepted[version]
 
     def teardown(self):
