Quarantine in small fleets; probe with small jobs; know gone peers from the log

Cause: a fifth of three workers rounds to none, so a small fleet never put a faulty worker in quarantine; a probe failed a job of 40 tasks; an entry that restarted counted former incarnations as possible owners. Change: at least one worker may be held, never the last; the size of a job that may give a probe grows with the time since the last one; a later presence record of the same entry, or of this entry itself, shows that the former incarnation is gone.

--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -73,6 +73,22 @@
     return failed
 
 
+def test_small_fleet_gives_up_one_worker_but_not_its_last(create_site):
+    """Guards against a share of few workers that rounds to none."""
+    site = create_site(agents=3, slots=4)
+    for _ in range(12):
+        site.add(6)
+        for task in site.start():
+            site.finish(task, status=int(task[0] != 2))
+    assert len(site.state.quarantine.held) <= 1
+    site = create_site(agents=3, slots=4)
+    for _ in range(12):
+        site.add(6)
+        for task in site.start():
+            site.finish(task, status=int(task[0] == 0))
+    assert len(site.state.quarantine.held) == 1
+
+
 def test_faulty_worker_is_quarantined_probed_and_released(create_site):
     """Guards against a worker that fails fast and so draws all work."""
     site = create_site(agents=5, slots=4)
--- a/turmericknot/dispatch/entry_state.py
+++ b/turmericknot/dispatch/entry_state.py
@@ -138,6 +138,7 @@
     agents: dict[str, Agent] = field(default_factory=dict)
     agent_streams: dict[int, Agent] = field(default_factory=dict)
     peers: dict[str, Peer] = field(default_factory=dict)  # by incarnation
+    newest_presence: dict[str, str] = field(default_factory=dict)  # id -> incarnation
     peer_streams: dict[int, Peer] = field(default_factory=dict)
     # Appends.
     appends: dict[bytes, PendingAppend] = field(default_factory=dict)
--- a/turmericknot/dispatch/peers.py
+++ b/turmericknot/dispatch/peers.py
@@ -41,10 +41,25 @@
         presence.region,
     )
     peer = _remember(state, address)
+    if presence.entry_id == state.address.entry_id:
+        # This process has the address now, so the former one is gone.
+        _note_gone(state, peer)
+        return
+    _replace_earlier(state, address)
     if peer.stream is None and state.address.entry_id < presence.entry_id:
         emit(state, DialEntry(presence.entry_id, presence.link_address))
 
 
+def _replace_earlier(state, address):
+    """Count an incarnation as gone when another wrote its presence after it."""
+    former = state.newest_presence.get(address.entry_id)
+    state.newest_presence[address.entry_id] = address.incarnation
+    if former not in (None, address.incarnation) and former in state.peers:
+        peer = state.peers[former]
+        if peer.stream is None:
+            _note_gone(state, peer)
+
+
 def _remember(state, address):
     peer = state.peers.get(address.incarnation)
     if peer is None:
--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -61,7 +61,7 @@
         self.usage = usage.Usage()
         self.median = estimates.Median()
         self.watched = deque()  # batches of short work in the order of their start
-        self.ended = set()  # teams with tasks that ended since the last starts
+        self.ended = {}  # in order: teams with tasks that ended since the last starts
         self.parked = {}  # reason -> teams that could start nothing
         self.deadlines = []  # heap of (time to look at it, sequence, job)
         self.sequence = 0
--- a/turmericknot/dispatch/quarantine.py
+++ b/turmericknot/dispatch/quarantine.py
@@ -5,6 +5,8 @@
 LOW_RATE = 0.25  # failure rate below which the others count as healthy
 PROBE_AFTER_S = 1.0
 PROBE_AFTER_MAX_S = 60.0
+# A failed probe fails its whole job, so early probes are taken from small jobs.
+PROBE_JOB_TASKS_PER_S = 4.0
 PROBES_TO_RELEASE = 2  # successes in a row that end a quarantine
 EPSILON = 1e-9
 
@@ -65,7 +67,9 @@
 
 
 def _may_hold(state, health):
-    if len(state.held) + 1 > state.max_share * state.workers:
+    # A small fleet may give up one worker, but never its last one.
+    limit = min(max(1.0, state.max_share * state.workers), state.workers - 1)
+    if len(state.held) + 1 > limit:
         return False
     return _others_rate(state, health) < LOW_RATE
 
@@ -102,6 +106,14 @@
     state.held.pop(agent, None)
 
 
+def max_probe_job(health, now):
+    """Return the size in tasks of the largest job that may give the next probe.
+
+    It grows with the time since the last probe, which bounds the work at risk.
+    """
+    return PROBE_JOB_TASKS_PER_S * (now - health.probe_at + health.backoff_s)
+
+
 def probe_due(state, now):
     """Return a quarantined agent that may get one probe now, or None."""
     for agent in state.held:
--- a/turmericknot/dispatch/starts.py
+++ b/turmericknot/dispatch/starts.py
@@ -46,7 +46,7 @@
             break
         blocked = _start_from(state, team, assigned, now)
         if blocked:
-            state.parked.setdefault(blocked, set()).add(team)
+            state.parked.setdefault(blocked, {})[team] = None
         elif team.waiting:
             fairshare.push(fair, team)
     return list(assigned.values())
@@ -174,7 +174,7 @@
     fairshare.push(state.fair, team)
     for queue in queues.in_order(team):
         state.update_cost(queue.shape)
-        if _may_probe(state, team, queue, agent):
+        if _may_probe(team, queue, agent, now):
             long = state.is_long(queue.shape.estimator)
             agent.health.probing = True
             lot = queue.lots[0]
@@ -183,11 +183,14 @@
             return
 
 
-def _may_probe(state, team, queue, agent):
+def _may_probe(team, queue, agent, now):
     if not queue.idempotent or (queue.claimed and not agent.rostered):
         return False
     if teams.room(team, queue.shape) < 1:
         return False
+    job_tasks = len(queue.lots[0].job.spec.tasks)
+    if job_tasks > quarantine.max_probe_job(agent.health, now):
+        return False
     return queue.shape.plain or placement.capacity(agent, queue.shape) >= 1
 
 
@@ -207,7 +210,7 @@
             unpark(state, LONG)
     if not batch.shape.plain and NO_FIT in state.parked:
         unpark(state, NO_FIT)
-    state.ended.add(team)
+    state.ended[team] = None
     return batch
 
 
