Name the cause when a file is for the other role or a body is too large

'entry run' with the settings of an agent listed every key as unknown; an oversized job was reported as a lost answer (exit code 4) instead of a refused request (2).

--- a/tests/conf/test_loader.py
+++ b/tests/conf/test_loader.py
@@ -109,8 +109,13 @@
 def test_role_must_be_told(write):
     assert "neither" in problems_of(write("region = 'ub'"))[0].found
     assert "both" in problems_of(write(ENTRY + "agent_id = 'a'"))[0].found
-    keys = {problem.key for problem in problems_of(write(AGENT), "entry")}
-    assert keys == {"agent_id", "entry_id"}
+
+
+def test_file_of_the_other_role_is_one_problem(write):
+    """Guards against a list of unknown keys when only the command was wrong."""
+    (problem,) = problems_of(write(AGENT), "entry")
+    assert problem.found == "the settings of an agent"
+    assert "entry_id" in problem.allowed
 
 
 def leaf_paths(struct, prefix=""):
--- a/tests/management/test_cli.py
+++ b/tests/management/test_cli.py
@@ -133,6 +133,7 @@
         ("429 Too Many Requests", {"status": "not_run", "reason": "overload"}, 3),
         ("504 Gateway Timeout", {"status": "unknown"}, 4),
         ("500 Internal Server Error", {"error": "bug"}, 4),
+        ("413 Request Entity Too Large", b"too large", 2),
         ("200 OK", b"<html>", 4),
     ],
 )
--- a/turmericknot/conf/loader.py
+++ b/turmericknot/conf/loader.py
@@ -57,23 +57,15 @@
     Without ``role`` the file itself tells by its ``entry_id`` or ``agent_id``.
     """
     document = _read(path)
-    role = role or detect_role(path, document)
-    settings, problems = build(ROLES[role], document, str(path))
+    found = detect_role(path, document)
+    if role not in (None, found):
+        raise SettingsError([_wrong_role(path, found, role)])
+    settings, problems = build(ROLES[found], document, str(path))
     if problems:
         raise SettingsError(problems)
     return settings
 
 
-def load_entry(path):
-    """Return the settings of an entry."""
-    return load(path, "entry")
-
-
-def load_agent(path):
-    """Return the settings of an agent."""
-    return load(path, "agent")
-
-
 def detect_role(path, document):
     """Return the role that a parsed settings file is for."""
     roles = [role for role, key in _ID_KEYS.items() if key in document]
@@ -84,6 +76,14 @@
     raise SettingsError([Problem(str(path), "", found, allowed, ProblemKind.KEY)])
 
 
+def _wrong_role(path, found, role):
+    """Return the problem of a file that is meant for the other role."""
+    allowed = f"{_ID_KEYS[role]} and the settings of an {role}"
+    return Problem(
+        str(path), "", f"the settings of an {found}", allowed, ProblemKind.KEY
+    )
+
+
 def build(struct, document, file):
     """Return ``(settings, problems)`` of a parsed file; settings may be None."""
     problems = []
--- a/turmericknot/management/cli.py
+++ b/turmericknot/management/cli.py
@@ -35,7 +35,8 @@
         return _run(list(arguments))
     except TurmericknotError as error:
         for line in str(error).splitlines() or [type(error).__name__]:
-            print(f"error: {line}", file=sys.stderr)
+            # An indented line belongs to the error above it.
+            print(line if line[:1].isspace() else f"error: {line}", file=sys.stderr)
         return exit_codes.for_error(error)
     except KeyboardInterrupt:
         return exit_codes.INTERRUPTED
--- a/turmericknot/management/client.py
+++ b/turmericknot/management/client.py
@@ -18,6 +18,8 @@
 # Beyond the time that the entry was asked to wait: a job ends at the latest one
 # second after its deadline.
 ANSWER_MARGIN_S = 10.0
+_REFUSED = "the entry refused the request ({}): {}"
+_SHOWN_CHARACTERS = 200
 
 
 def submit_job(address, body, timeout_s):
@@ -80,6 +82,10 @@
     try:
         return msgspec.json.decode(answer.data)
     except msgspec.DecodeError as error:
+        if 400 <= answer.status < 500:
+            # The HTTP server itself refuses a body over the limit, in plain text.
+            text = answer.data.decode(errors="replace")[:_SHOWN_CHARACTERS]
+            raise RequestError(_REFUSED.format(answer.status, text)) from error
         raise EntryAnswerLost(
             f"{address} answered with status {answer.status} and no JSON: is it the"
             " http_address of an entry?"
@@ -93,7 +99,7 @@
         return body
     detail = _error_text(body)
     if 400 <= status < 500:
-        raise RequestError(f"the entry refused the request ({status}): {detail}")
+        raise RequestError(_REFUSED.format(status, detail))
     raise EntryAnswerLost(f"the entry answered with status {status}: {detail}")
 
 
