--- a/tests/fuzz/fifo.py
+++ b/tests/fuzz/fifo.py
@@ -50,6 +50,11 @@
         state.streams[stream].busy.discard((job, index))
 
 
+def tasks_taken_over(state, stream, job, indexes, now):
+    for index in indexes:
+        state.streams[stream].busy.discard((job, index))
+
+
 def tasks_returned(state, stream, job, indexes, now):
     for index in indexes:
         task_done(state, stream, job, index, 0, 0.0, now)
--- a/turmericknot/dispatch/agents.py
+++ b/turmericknot/dispatch/agents.py
@@ -200,6 +200,16 @@
                 del kind[job_id]
 
 
+def taken_over(state, job_id):
+    """Free the slots of a job's tasks, whose results another entry gets."""
+    for agent in state.agents.values():
+        indexes = agent.sent.pop(job_id, ())
+        if indexes and agent.stream is not None:
+            state.policy.tasks_taken_over(
+                state.scheduler, agent.stream, job_id, indexes, state.now
+            )
+
+
 def returned(state, agent, message):
     """Queue tasks again that the agent gave back unstarted."""
     job = state.jobs.get(message.job)
--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -230,6 +230,8 @@
 
 def _fence_read(state, record, time):
     for job_id in claims.apply_fence(state.table, record, time):
+        if record.owner == state.me:
+            agents.taken_over(state, job_id)
         job = state.jobs.get(job_id)
         if job is not None:
             ownership.decided(state, job)
--- a/turmericknot/dispatch/peers.py
+++ b/turmericknot/dispatch/peers.py
@@ -4,6 +4,7 @@
 
 from turmericknot.dispatch import (
     answers,
+    appends,
     cancellation,
     liveness,
     ownership,
@@ -81,7 +82,10 @@
 def _note_gone(state, peer):
     """The process of this incarnation does not run any more."""
     peer.refused = True
-    peer.gone_at = min(peer.gone_at, state.now)
+    if peer.gone_at > state.now:
+        # Once the claims are read after this, it owns nothing that is not known.
+        peer.gone_at = state.now
+        appends.read_now(state)
     ownership.peer_gone(state, peer)
 
 
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -15,6 +15,7 @@
     placement,
     quarantine,
     queues,
+    reserve,
     retries,
     starts,
     teams,
@@ -93,7 +94,8 @@
         share = usage.region_share(state.usage, now)
         fairshare.localise(state.fair, team, share)
         fairshare.activate(state.fair, team, now)
-        fairshare.push(state.fair, team)
+    if not team.heap_sequence:
+        fairshare.push(state.fair, team)  # it was idle, or nothing of it could start
 
 
 def remove_job(state, job, now):
@@ -217,6 +219,17 @@
         state.jobs.pop(job.spec.job, None)
 
 
+def tasks_taken_over(state, stream, job, indexes, now):
+    """Free the slots of tasks whose results go to another entry."""
+    known = state.jobs.get(job)
+    if known is not None:
+        known.started.difference_update(indexes)
+        _forget_if_ended(state, known)
+    agent = state.agents.get(stream)
+    for index in indexes if agent is not None else ():
+        starts.end(state, agent, job, index, now)
+
+
 def tasks_returned(state, stream, job, indexes, now):
     """Queue tasks again that did not start, first in line."""
     agent = state.agents.get(stream)
@@ -262,15 +275,15 @@
     last = state.stepped_at
     if last is not None and now - last < STEP_INTERVAL_S:
         return
+    elapsed_s = 0.0 if last is None else now - last
     state.stepped_at = now
     starts.watch_long(state, now)
-    state.sample_short()
+    reserve.sample(state)
     for team in state.teams.values():
         if team.deferred:
-            for job, indexes in retries.release(team, now - (last or now)):
+            for job, indexes in retries.release(team, elapsed_s):
                 _enqueue(state, job, indexes, now, first=True)
-    for reason in list(state.parked):
-        starts.unpark(state, reason)
+    starts.unpark_all(state)
 
 
 def _latest_start(job):
@@ -313,10 +326,11 @@
 
 def waiting(state, stream):
     """Return the waiting tasks and the entitlement that an Assign carries."""
+    asked = state.asked()
     agent = state.agents.get(stream)
-    if agent is not None and state.waiting:
+    if agent is not None and asked:
         agent.told = True
-    return state.waiting, state.entitlement
+    return asked, state.entitlement
 
 
 def spec_for(state, job, index):
