Give up closed streams to silent peers and stale clocks of the log

A dialled stream that was closed towards a paused peer waited for that peer's answer for ever and was not dialled again; it is aborted after 1 s now. An answer to a long poll that waited in a paused process made the entry refuse jobs for clock skew for up to 10 s (seen after a pause of 5 s); a stale answer is now followed by a short read, and the poll waits 2 s.

--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -3,6 +3,7 @@
 import queue
 import socket
 import threading
+import time
 from contextlib import contextmanager
 
 import pytest
@@ -180,6 +181,18 @@
     assert server.next("opened")[1] == Heartbeat(1)
 
 
+def test_stream_to_a_silent_peer_is_closed_and_dialled_again(start, address):
+    """Guards against a dialler that waits for the answer of a paused peer for ever."""
+    server, client, _, dialled = connect(start, address)
+    with paused_loop(server):
+        client.links.close(dialled, "peer is silent")
+        assert client.next("closed") == (dialled, "peer is silent")
+        deadline = time.monotonic() + 3 * streams.CLOSE_TIMEOUT_S
+        while not client.links._streams:  # until the next attempt to dial
+            assert time.monotonic() < deadline, "not dialled again"
+            time.sleep(0.02)
+
+
 def test_port_in_use_is_a_typed_error(start, address):
     start(address)
     with pytest.raises(AddressInUse):
--- a/turmericknot/entry/log.py
+++ b/turmericknot/entry/log.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 
 import pykka
 
@@ -17,7 +18,10 @@
 from turmericknot.utils.logging import get_logger
 
 CLAIMS = "claims"
-POLL_WAIT_S = 10.0
+POLL_WAIT_S = 2.0
+# An answer that seems this old may have waited while the process was paused; its
+# time is not taken for the log's present clock.
+STALE_ANSWER_S = 0.5
 # Appends wait several milliseconds each; one that hangs must not hold up the rest.
 APPENDERS = 4
 RETRY_FIRST_S = 0.05
@@ -84,8 +88,11 @@
         self.read_pending = False
         self._lock = threading.Lock()
 
-    def deliver(self, page):
-        """Post the records that were not posted before; return whether all are."""
+    def deliver(self, page, is_current=True):
+        """Post the records that were not posted before; return whether all are.
+
+        The end of the stream is posted only with a current page.
+        """
         with self._lock:
             for record in page.records:
                 if record.offset >= self.next_offset:
@@ -93,7 +100,7 @@
                     self.post(
                         events.LogRecordRead(record.offset, record.data, record.time)
                     )
-            if page.caught_up:
+            if page.caught_up and is_current:
                 self.post(
                     events.LogCaughtUp(self.next_offset, page.log_time, page.asked_at)
                 )
@@ -119,6 +126,9 @@
         get_logger().warning("log.trimmed", first_offset=error.first_offset)
         tail.skip(error.first_offset)
         return False
+    if wait_s and abs(time.time() - page.log_time) > STALE_ANSWER_S:
+        tail.deliver(page, is_current=False)
+        return read_once(tail, 0.0)
     return tail.deliver(page)
 
 
--- a/turmericknot/wire/links.py
+++ b/turmericknot/wire/links.py
@@ -202,6 +202,8 @@
     stream = links._streams.get(stream_id)
     if stream is not None:
         streams.finish(stream, reason)
+        # A paused or cut-off peer takes neither the rest of the queue nor the end.
+        links._loop.call_later(streams.CLOSE_TIMEOUT_S, streams.abort, stream, reason)
 
 
 async def _listen(links):
