--- a/tests/federation.py
+++ b/tests/federation.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -67,6 +68,7 @@
     link_addresses: dict = field(default_factory=dict)  # entry -> what peers dial
     log_url: str = ""
     relay_control: str = ""
+    left: set = field(default_factory=set)  # workers whose target announced leaving
 
     @property
     def entries(self):
@@ -220,7 +222,9 @@
     (tree / "teams").mkdir(parents=True, exist_ok=True)
     (tree / "federation.toml").touch()
     for name, settings in teams.items():
-        (tree / "teams" / f"{name}.toml").write_text(tomli_w.dumps(settings))
+        path = tree / "teams" / f"{name}.toml"
+        present = tomllib.loads(path.read_text()) if path.exists() else {}
+        path.write_text(tomli_w.dumps({**present, **settings}))
     command = [sys.executable, "-m", "turmericknot", "config", "publish", str(tree)]
     command += ["--log_url", fed.log_url]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=30)
--- a/turmericknot/dispatch/claims.py
+++ b/turmericknot/dispatch/claims.py
@@ -12,9 +12,6 @@
 # Claims stay in the table this long after their key's expiry, so that a key that
 # expired a moment ago can still be told from one that was never claimed.
 EXPIRED_CLAIM_GRACE_S = 30.0
-# Records of a wholly fenced owner are void for this long; not above roster_ttl,
-# for which an entry must have read the log before it starts anything again.
-FENCED_OWNER_VOID_S = 120.0
 
 
 class Record(msgspec.Struct, array_like=True, frozen=True):
@@ -57,8 +54,16 @@
     agents: list[str]
 
 
+class Cancel(Record, tag=5):
+    """Cancel jobs of an owner, for whoever takes them over later."""
+
+    record: bytes
+    owner: str
+    jobs: list[bytes]
+
+
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Claim | Fence | Presence | Roster)
+_decoder = msgspec.msgpack.Decoder(Claim | Fence | Presence | Roster | Cancel)
 
 
 def encode_record(record):
@@ -82,12 +87,16 @@
     claimed_at: float  # log time of the first claim
     expires_at: float
     formers: list[str] = field(default_factory=list)
+    cancelled: bool = False
 
 
 @dataclass(slots=True)
 class ClaimTable:
     """Owners of jobs, fenced owners and the roster of agents."""
 
+    # Records of a wholly fenced owner are void for this long: roster_ttl, for which
+    # an entry must have read the log before it starts a task of another's claim.
+    void_s: float
     jobs: dict[bytes, Ownership] = field(default_factory=dict)
     owned: dict[str, set[bytes]] = field(default_factory=dict)
     fenced: dict[str, float] = field(default_factory=dict)  # whole owner -> log time
@@ -151,7 +160,7 @@
     later record of its own, so it acts on none of them.
     """
     fenced_at = table.fenced.get(owner)
-    return fenced_at is not None and time - fenced_at <= FENCED_OWNER_VOID_S
+    return fenced_at is not None and time - fenced_at <= table.void_s
 
 
 def _move(table, job, owner):
@@ -162,6 +171,15 @@
     ownership.owner = owner
 
 
+def apply_cancel(table, cancel):
+    """Mark the jobs that the canceller still owns; return them."""
+    owned = table.owned.get(cancel.owner, set())
+    jobs = [job for job in cancel.jobs if job in owned]
+    for job in jobs:
+        table.jobs[job].cancelled = True
+    return jobs
+
+
 def apply_roster(table, roster, time):
     """Put agents on the roster, or refresh them."""
     for agent in roster.agents:
--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -22,8 +22,10 @@
 from turmericknot.membership.state import create_membership_state
 
 HOUSEKEEPING_S = 1.0
-# A follower gives the owner this long past the deadline to say how the job ended.
-FOLLOW_GRACE_S = 0.5
+# Reads that end within this time measure the clock of the log service well enough.
+QUICK_READ_S = 0.5
+# Other entries and the log get this long past the deadline to say what they know.
+ASKING_GRACE_S = 0.5
 
 
 def create_entry_state(
@@ -35,7 +37,10 @@
     """
     scheduler = policy.create_scheduler(settings, rng)
     members = create_membership_state(settings.membership, address.entry_id)
-    state = EntryState(settings, address, rng, policy, scheduler, is_home, members)
+    table = claims.ClaimTable(settings.claims.roster_ttl_s)
+    state = EntryState(
+        settings, address, rng, policy, scheduler, is_home, members, table
+    )
     state.tokens = settings.claims.append_budget_per_s
     return state
 
@@ -126,6 +131,8 @@
 
 
 def _check_job(state, job):
+    if state.now >= job.deadline and _deadline_passed(state, job):
+        return
     waited = state.now - job.since + agents.TIMER_SLACK_S
     timeout = TIMEOUTS.get(job.phase)
     if timeout is not None:
@@ -134,8 +141,6 @@
             handler(state, job)
     if job.phase in ownership.WORKING:
         agents.check_lost(state, job)
-    if job.phase is not Phase.ENDED and state.now >= job.deadline:
-        _deadline_passed(state, job)
 
 
 def _refusing_timed_out(state, job):
@@ -162,17 +167,22 @@
 
 
 def _deadline_passed(state, job):
-    """End a job at its deadline; only its owner may say that it failed."""
+    """End a job at its deadline; return False when it is given some more time.
+
+    Only the owner may say that it failed; who asks others gives them a moment.
+    """
     if job.phase in (Phase.CLAIMING, Phase.RUNNING):
+        job.final = job.phase is Phase.RUNNING
         answers.end(state, job, JobStatus.FAILED, Reason.DEADLINE_EXCEEDED)
-    elif job.phase is Phase.FOLLOWING:
-        if state.now < job.deadline + FOLLOW_GRACE_S:
-            heapq.heappush(state.timers, (job.deadline + FOLLOW_GRACE_S, job.id))
-            return
-        job.final = False
-        answers.end(state, job, JobStatus.UNKNOWN, Reason.OWNER_UNREACHABLE)
     elif job.phase in (Phase.FENCING, Phase.INVENTORY, Phase.CANCELLING):
         answers.end(state, job, JobStatus.UNKNOWN, Reason.MAY_HAVE_STARTED)
+    elif state.now < job.deadline + ASKING_GRACE_S:
+        heapq.heappush(state.timers, (job.deadline + ASKING_GRACE_S, job.id))
+        return False
+    else:
+        job.final = False
+        answers.end(state, job, JobStatus.UNKNOWN, Reason.OWNER_UNREACHABLE)
+    return True
 
 
 def _drain(state, event):
@@ -220,6 +230,8 @@
 
 def _fence_read(state, record, time):
     for job_id in claims.apply_fence(state.table, record, time):
+        if record.owner == state.me:
+            agents.taken_over(state, job_id)
         job = state.jobs.get(job_id)
         if job is not None:
             ownership.decided(state, job)
@@ -227,6 +239,13 @@
         ownership.incarnation_fenced(state)
 
 
+def _cancel_read(state, record, time):
+    for job_id in claims.apply_cancel(state.table, record):
+        job = state.jobs.get(job_id)
+        if job is not None:
+            cancellation.recorded(state, job)
+
+
 def _presence_read(state, record, time):
     peers.presence_read(state, record)
 
@@ -241,17 +260,35 @@
     claims.Fence: _fence_read,
     claims.Presence: _presence_read,
     claims.Roster: _roster_read,
+    claims.Cancel: _cancel_read,
 }
 
 
 def _caught_up(state, event):
     state.log_readable = True
     state.current_as_of = max(state.current_as_of, event.asked_at)
-    state.clock_error_s = state.wall - event.log_time
+    _compare_clocks(state, event)
     appends.read_back_done(state, event.asked_at)
+    agents.requeue_proven(state)
     for job in list(state.jobs.values()):
         if job.phase is Phase.REFUSING and state.current_as_of >= job.arrived:
             submissions.table_is_current(state, job)
+        elif job.phase is Phase.INVENTORY:
+            takeover.resolve(state, job)
+
+
+def _compare_clocks(state, event):
+    """Take the difference to the log's clock from a quick read only.
+
+    A pause of this process between the answer and now looks like a fast clock, so
+    a large difference is believed only when a read that took little time shows it.
+    """
+    error_s = state.wall - event.log_time
+    quick = state.now - event.asked_at <= QUICK_READ_S
+    if quick or abs(error_s) <= state.settings.claims.max_clock_skew_s:
+        state.clock_error_s = error_s
+    else:
+        appends.read_now(state)
 
 
 def _read_failed(state, event):
--- a/turmericknot/dispatch/entry_state.py
+++ b/turmericknot/dispatch/entry_state.py
@@ -64,6 +64,7 @@
     formers: list[str] = field(default_factory=list)
     missing: set[tuple[str, str]] = field(default_factory=set)  # agent, former owner
     provable: bool = True  # the roster of the old owner's agents is known
+    inventoried_at: float = 0.0  # when the last inventory came
     recalling: set[str] = field(default_factory=set)
     answer: Answer | None = None
     final: bool = True  # a refusal that is not final is forgotten
@@ -94,6 +95,7 @@
     address: EntryAddress
     stream: int | None = None
     refused: bool = False  # its address refused a connection
+    gone_at: float = float("inf")  # when that, or a newer incarnation, was seen
     seen: float = 0.0  # wall clock of its newest presence
 
 
@@ -128,6 +130,7 @@
     scheduler: Any
     is_home: Any  # is_home(state, incarnation) -> bool
     membership: MembershipState
+    table: ClaimTable
     now: float = 0.0
     wall: float = 0.0
     commands: list = field(default_factory=list)
@@ -136,11 +139,11 @@
     agent_streams: dict[int, Agent] = field(default_factory=dict)
     peers: dict[str, Peer] = field(default_factory=dict)  # by incarnation
     peer_streams: dict[int, Peer] = field(default_factory=dict)
-    table: ClaimTable = field(default_factory=ClaimTable)
     # Appends.
     appends: dict[bytes, PendingAppend] = field(default_factory=dict)
     claim_queue: list[bytes] = field(default_factory=list)
     fence_queue: dict[str, list[bytes]] = field(default_factory=dict)
+    cancel_queue: list[bytes] = field(default_factory=list)
     roster_queue: set[str] = field(default_factory=set)
     tokens: float = 0.0
     tokens_at: float = 0.0
@@ -155,6 +158,9 @@
     # Takeover, cancellation, answers.
     fences: list[IssuedFence] = field(default_factory=list)
     new_fences: list[IssuedFence] = field(default_factory=list)
+    # Tasks that did not start, until the table proves that the job is still owned:
+    # (time from which the table must be current, job, indexes).
+    unproven: list[tuple[float, bytes, list[int]]] = field(default_factory=list)
     recalls: dict[int, tuple[str, list[bytes]]] = field(default_factory=dict)
     locates: dict[int, bytes] = field(default_factory=dict)
     awaits: dict[int, bytes] = field(default_factory=dict)
--- a/turmericknot/dispatch/submissions.py
+++ b/turmericknot/dispatch/submissions.py
@@ -32,7 +32,18 @@
         return
     join(state, job, event.request)
     if job.spec is None and job.phase is not Phase.ENDED:
-        job.spec = spec
+        _add_spec(state, job, spec)
+
+
+def _add_spec(state, job, spec):
+    """Turn a job that was only asked for into a submitted one."""
+    job.spec = spec
+    job.deadline = _deadline(state, spec)
+    wake(state, job.deadline, job)
+    if job.phase is Phase.REFUSING:
+        job.refusal = None
+        job.arrived = state.now
+        _accept(state, job)
 
 
 def join(state, job, request):
@@ -63,16 +74,23 @@
 
 
 def _create_job(state, spec, request):
-    claims = state.settings.claims
-    # A job ends before its key expires, so that no start lies behind the expiry.
-    key_s = spec.expires_at - claims.max_clock_skew_s - state.wall
-    deadline = state.now + min(spec.deadline_s, max(0.0, key_s))
+    deadline = _deadline(state, spec)
     job = Job(spec.job, state.now, deadline, spec.expires_at, spec)
     job.requests.append(request)
     _register(state, job)
     return job
 
 
+def _deadline(state, spec):
+    """Return when the job ends at the latest (monotonic).
+
+    A job ends before its key expires, so that no start lies behind the expiry.
+    """
+    claims = state.settings.claims
+    key_s = spec.expires_at - claims.max_clock_skew_s - state.wall
+    return state.now + min(spec.deadline_s, max(0.0, key_s))
+
+
 def _register(state, job):
     job.since = state.now
     state.jobs[job.id] = job
@@ -131,13 +149,12 @@
     """No claim of the job lay in the log when it arrived."""
     if job.id in state.table.jobs:
         ownership.decided(state, job)
-    elif _may_run_unclaimed(job):
-        if not job.unanswered:
-            locate(state, job)
-    elif _table_reaches_back(state, job):
-        conclude_refusal(state, job)
-    else:
+    elif not _table_reaches_back(state, job):
         _answer_unknown(state, job)
+    elif not _may_run_unclaimed(job):
+        conclude_refusal(state, job)
+    elif not job.unanswered:
+        locate(state, job)
 
 
 def _may_run_unclaimed(job):
@@ -148,25 +165,32 @@
 def _table_reaches_back(state, job):
     """Return False when a claim of the job may have left the table."""
     claims = state.settings.claims
-    if state.wall > job.expires_at + EXPIRED_CLAIM_GRACE_S - claims.max_clock_skew_s:
+    if not _is_remembered(state, job):
         return False
     first = job.expires_at - claims.max_key_lifetime_s - 2 * claims.max_clock_skew_s
     return state.table.covered_from <= first
 
 
+def _is_remembered(state, job):
+    """Return False when this entry and others may have forgotten the job."""
+    skew_s = 2 * state.settings.claims.max_clock_skew_s
+    return state.wall <= job.expires_at + EXPIRED_CLAIM_GRACE_S - skew_s
+
+
 def locate(state, job):
     """Ask every known entry whether it runs the job."""
     job.unanswered = set()
-    job.peers_complete = True
-    oldest = state.wall - state.settings.claims.max_key_lifetime_s
+    # An entry that never read the log to its end may not know of some peers.
+    job.peers_complete = state.current_as_of > float("-inf")
     for peer in state.peers.values():
         if peer.stream is not None:
             request = new_request(state)
             state.locates[request] = job.id
             job.unanswered.add(request)
             send(state, peer.stream, LocateJob(request, job.id))
-        elif peer.seen >= oldest:
-            # It may have started tasks of the job before it was lost.
+        elif _may_run_unclaimed(job) or state.current_as_of <= peer.gone_at:
+            # It may have started tasks of the job before it was lost. The claims of
+            # an entry that was gone when the table was read are in the table.
             job.peers_complete = False
     phase = Phase.LOCATING if job.phase is Phase.LOCATING else Phase.REFUSING
     enter(state, job, phase, state.settings.claims.locate_timeout_s)
@@ -194,19 +218,23 @@
     job.unanswered = set()
     if job.phase is Phase.LOCATING:
         ownership.run_unclaimed(state, job)
-    elif answered:
+    elif answered and _is_remembered(state, job):
         conclude_refusal(state, job)
     else:
         _answer_unknown(state, job)
 
 
 def conclude_refusal(state, job):
-    """Answer the refusal; it is final only when a claim may be in the log."""
+    """Answer the refusal and forget the job.
+
+    A claim that still lands then names an owner that started nothing and starts
+    nothing unless the caller submits the job once more.
+    """
     refusal = job.refusal
     status = JobStatus.NOT_RUN
     if refusal.reason is Reason.NOT_FOUND:
         status = JobStatus.UNKNOWN
-    job.final = bool(job.claim_record) and job.spec is not None
+    job.final = False
     answers.end(
         state, job, status, refusal.reason, refusal.detail, refusal.retry_after_s
     )
@@ -214,11 +242,16 @@
 
 def _answer_unknown(state, job):
     """Another entry may run the job, and nobody can say."""
-    reason = Reason.LOG_UNAVAILABLE
-    if job.refusal.reason in (Reason.KEY_EXPIRED, Reason.NOT_FOUND):
-        reason = job.refusal.reason
-    job.final = bool(job.claim_record) and job.spec is not None
-    answers.end(state, job, JobStatus.UNKNOWN, reason, job.refusal.detail)
+    refusal = job.refusal
+    job.final = False
+    answers.end(
+        state,
+        job,
+        JobStatus.UNKNOWN,
+        refusal.reason,
+        refusal.detail,
+        refusal.retry_after_s,
+    )
 
 
 def claim_timed_out(state, job):
