--- a/tools/measure_configtree.py
+++ b/tools/measure_configtree.py
@@ -1,6 +1,6 @@
 """Measure the merge of the configuration tree; prints one ``key=value`` per line.
 
-Run ``python tools/measure_configtree.py [--teams 250] [--records 20000]``.
+Run ``python -m tools.measure_configtree [--teams 250] [--records 20000]``.
 """
 
 import argparse
