--- a/turmericknot/wire/messages.py
+++ b/turmericknot/wire/messages.py
@@ -45,7 +45,10 @@
 
 
 class Heartbeat(Message, tag=2):
-    """Tell the peer that the sender is alive."""
+    """Tell the peer that the sender is alive.
+
+    An entry sends one to a silent agent as a probe; the agent answers with one.
+    """
 
     sequence: int
 
@@ -232,10 +235,14 @@
 
 
 class AwaitJob(Message, tag=41):
-    """Ask the owner of a job for its answer when there is one."""
+    """Ask the owner of a job for its answer when there is one.
+
+    ``digest`` is that of the body submitted to the sender; empty when unknown.
+    """
 
     request: int
     job: bytes
+    digest: bytes = b""
 
 
 class JobAnswer(Message, tag=42):
