--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,9 @@
 # One file that needs no Python on the host.
 binary: install
 	$(BIN)/python -m tools.build_binary
+
+FUZZ_LONG ?= 2000
+
+# Random walks from a printed random seed; FUZZ_SEED=... repeats a run.
+fuzz: install
+	FUZZ_LONG=$(FUZZ_LONG) $(BIN)/python -m pytest -s --timeout=0 tests/fuzz/test_fuzz.py -k long
--- a/tests/fuzz/knockouts.py
+++ b/tests/fuzz/knockouts.py
@@ -6,8 +6,11 @@
 from collections import deque
 
 from turmericknot.dispatch import (
+    agent,
     agent_messages,
+    agent_tasks,
     agents,
+    answers,
     appends,
     cancellation,
     ownership,
@@ -16,6 +19,8 @@
     takeover,
 )
 from turmericknot.dispatch.entry_state import Phase
+from turmericknot.dispatch.scheduler import Refusal
+from turmericknot.dispatch.tasks import JobStatus, Reason
 from turmericknot.wire.messages import Inventory
 
 
@@ -66,6 +71,9 @@
     patch(submissions, "_deadline", lambda state, spec: state.now + spec.deadline_s)
     patch(agents, "_may_send", lambda state, job, agent: agent.rostered)
     patch(agent_messages, "_refusal", lambda state, message, wall: "")
+    start = agent_tasks.start_queued
+    for module in (agent, agent_messages, agent_tasks):
+        patch(module, "start_queued", lambda state, now, wall: start(state, now, 0.0))
 
 
 def result_retention(patch):
@@ -138,6 +146,55 @@
     patch(takeover, "resolve", unread)
 
 
+def refusal_forgotten(patch):
+    """A refusal whose claim is undecided is kept and given again."""
+
+    def keep(state, job):
+        refusal = job.refusal
+        job.final = bool(job.claim_record)
+        answers.end(state, job, JobStatus.NOT_RUN, refusal.reason)
+
+    patch(submissions, "conclude_refusal", keep)
+
+
+def all_peers(patch):
+    """A refusal counts peers that cannot be asked as if they had answered."""
+    located = submissions.all_located
+
+    def lenient(state, job):
+        job.peers_complete = True
+        job.unanswered = set()
+        located(state, job)
+
+    patch(submissions, "all_located", lenient)
+
+
+def remembered(patch):
+    """A refusal trusts entries that have forgotten an expired key."""
+    patch(submissions, "_is_remembered", lambda state, job: True)
+
+
+def absence_unclaimed(patch):
+    """An idempotent task is queued again when the inventory lacks it."""
+
+    def requeue(state, agent, job, indexes):
+        known = agents._unlocate(agent, job, job.id, indexes)
+        if known and job.phase is Phase.RUNNING:
+            agents._return(state, agents.NO_STREAM, job, known)
+
+    patch(agents, "_doubt_absent", requeue)
+
+
+def cancel_undecided(patch):
+    """A cancel is acknowledged before the claim was decided."""
+    patch(cancellation, "UNDECIDED", Refusal(Reason.CANCELLED, ""))
+
+
+def cancel_record(patch):
+    """A cancel is acknowledged before it lies in the log."""
+    patch(cancellation, "_is_recorded", lambda state, job: True)
+
+
 KNOCKOUTS = {
     function.__name__: function
     for function in (
@@ -151,5 +208,11 @@
         recall_confirmation,
         inventory_check,
         table_after_inventory,
+        refusal_forgotten,
+        all_peers,
+        remembered,
+        absence_unclaimed,
+        cancel_undecided,
+        cancel_record,
     )
 }
--- a/turmericknot/dispatch/answers.py
+++ b/turmericknot/dispatch/answers.py
@@ -1,5 +1,7 @@
 """How a job ends, and answers that are kept until their key expires."""
 
+from dataclasses import replace
+
 from turmericknot.dispatch import appends
 from turmericknot.dispatch.claims import EXPIRED_CLAIM_GRACE_S
 from turmericknot.dispatch.commands import Respond
@@ -97,7 +99,8 @@
         del state.jobs[job.id]
         return
     if job.spec is not None:
-        job.spec.tasks = []
+        # The scheduler may still hold the spec, so its tasks are left alone.
+        job.spec = replace(job.spec, tasks=[])
     state.kept.append(job.id)
     state.kept_bytes += _size(job.answer)
     while state.kept_bytes > KEPT_ANSWER_BYTES and state.kept:
