--- /dev/null
+++ b/tests/dispatch/test_entry.py
@@ -0,0 +1,141 @@
+"""The entry's normal path and its bounds; faults in combination are in tests/fuzz."""
+
+from dataclasses import replace
+
+import pytest
+
+from tests.fuzz import fifo
+from tests.fuzz.world import CLAIMS, WALL, World
+from turmericknot.dispatch import answers, appends, claims, entry, events
+from turmericknot.dispatch.commands import AppendRecord, Drained, Respond
+from turmericknot.dispatch.tasks import JobSpec, JobStatus, Reason
+
+
+@pytest.fixture
+def world():
+    return World(1, fifo)
+
+
+@pytest.fixture
+def driven(world):
+    """Return a function that hands an event to the first entry."""
+
+    def drive(event):
+        world.now += 1e-6
+        state = world.entries[0].state
+        return entry.handle(state, event, world.now, WALL + world.now)
+
+    return drive
+
+
+def job_spec(world, size=1, idempotent=False):
+    spec = world.new_job(size, idempotent, 20.0, 5.0)
+    return JobSpec(*spec[:7], list(spec[7]), digest=b"body")
+
+
+def answers_in(commands):
+    return [command.answer for command in commands if isinstance(command, Respond)]
+
+
+def appended(commands):
+    records = [command for command in commands if isinstance(command, AppendRecord)]
+    return [claims.decode_record(record.data) for record in records]
+
+
+def test_claims_share_a_record_once_the_budget_runs_low(world, driven):
+    """Guards against one append per job, which the log service cannot take."""
+    state = world.entries[0].state
+    records = []
+    for _ in range(300):
+        records += appended(driven(events.JobSubmitted(1, job_spec(world))))
+    world.now += CLAIMS.claim_window_max_s
+    records += appended(driven(events.Tick()))
+    taken = [record for record in records if isinstance(record, claims.Claim)]
+    assert sum(len(record.jobs) for record in taken) == 300
+    assert len(taken) <= state.settings.claims.append_budget_per_s / 2 + 3
+    assert len(taken[0].jobs) == 1
+
+
+def test_budget_is_never_exceeded(world, driven):
+    """Guards against appends beyond the budget while every one of them fails."""
+    sent = []
+    for _ in range(400):
+        out = driven(events.JobSubmitted(1, job_spec(world)))
+        sent += [c for c in out if isinstance(c, AppendRecord)]
+        for command in [c for c in out if isinstance(c, AppendRecord)]:
+            driven(events.AppendFailed(command.record, False))
+    state = world.entries[0].state
+    assert len(sent) <= state.settings.claims.append_budget_per_s + 1
+    assert appends.next_flush(state) > world.now
+
+
+def test_same_key_with_another_body_is_a_conflict(world, driven):
+    """Guards against answering a caller with the result of another body."""
+    spec = job_spec(world)
+    driven(events.JobSubmitted(1, spec))
+    other = replace(spec, digest=b"other")
+    (answer,) = answers_in(driven(events.JobSubmitted(2, other)))
+    assert (answer.status, answer.reason) == (JobStatus.FAILED, Reason.KEY_CONFLICT)
+
+
+def test_kept_answers_are_bounded(world, monkeypatch):
+    """Guards against unbounded memory, and against a second run after eviction."""
+    monkeypatch.setattr(answers, "KEPT_ANSWER_BYTES", 30)
+    specs = [world.new_job(1, False, 20.0, 5.0) for _ in range(4)]
+    for spec in specs:
+        world.submit(world.entries[0], spec)
+    world.settle(0.5)
+    state = world.entries[0].state
+    assert state.kept_bytes <= 30
+    world.submit(world.entries[0], specs[0])
+    last = list(world.oracle.attempts.values())[-1].answer
+    assert (last.status, last.reason) == (JobStatus.UNKNOWN, Reason.ANSWER_DROPPED)
+    world.settle(1.0)
+
+
+def test_drain_refuses_new_jobs_and_finishes_the_old(world, driven):
+    """Guards against a planned stop that interrupts a request in flight."""
+    first = job_spec(world)
+    driven(events.JobSubmitted(1, first))
+    assert not [c for c in driven(events.DrainRequested()) if isinstance(c, Drained)]
+    driven(events.JobSubmitted(2, job_spec(world)))
+    state = world.entries[0].state
+    out = driven(
+        events.LogCaughtUp(state.table.next_offset, WALL + world.now, world.now)
+    )
+    (refused,) = answers_in(out)
+    assert (refused.status, refused.reason) == (JobStatus.NOT_RUN, Reason.DRAINING)
+    world.now += 5.1
+    out = driven(events.Tick())
+    assert [answer.job for answer in answers_in(out)] == [first.job]
+    assert [c for c in out if isinstance(c, Drained)]
+
+
+def test_skewed_clock_refuses_new_jobs(world, driven):
+    """Guards against a key accepted by a clock beyond the skew bound."""
+    state = world.entries[0].state
+    skewed = WALL + world.now + 3 * CLAIMS.max_clock_skew_s
+    driven(events.LogCaughtUp(state.table.next_offset, skewed, world.now))
+    driven(events.JobSubmitted(1, job_spec(world)))
+    out = driven(events.LogCaughtUp(state.table.next_offset, skewed, world.now))
+    (refused,) = answers_in(out)
+    assert refused.reason is Reason.CLOCK_SKEW
+
+
+def test_trimmed_records_prevent_starts_in_a_takeover(world):
+    """Guards against a takeover that does not know the agents of a claim."""
+    table = claims.ClaimTable(12.0)
+    claims.trim(table, 5)
+    claims.advance(table, 5, 100.0)
+    claims.apply_claim(table, claims.Claim(b"r", "e1", [(b"j", 130.0)]), 105.0)
+    assert claims.agents_of_claim(table, b"j", 12.0) is None
+    assert claims.agents_of_claim(table, b"j", 4.0) == set()
+
+
+def test_records_of_a_fenced_owner_are_void(world):
+    """Guards against a claim that a fenced owner had under way."""
+    table = claims.ClaimTable(12.0)
+    claims.apply_fence(table, claims.Fence(b"f", "e1", "e2"), 100.0)
+    claims.apply_claim(table, claims.Claim(b"r", "e1", [(b"j", 130.0)]), 101.0)
+    claims.apply_claim(table, claims.Claim(b"s", "e3", [(b"j", 130.0)]), 102.0)
+    assert table.jobs[b"j"].owner == "e3"
