--- a/tests/dispatch/test_scheduler.py
+++ b/tests/dispatch/test_scheduler.py
@@ -114,3 +114,15 @@
     site.finish((0, job, 0))
     assert site.start() == []
     assert scheduler.remove_job(site.state, job, 1.2) == [1, 2]
+
+
+def test_slots_of_tasks_taken_over_are_free_again(create_site):
+    """Guards against slots that stay in use for ever after a takeover."""
+    site = create_site(agents=1, slots=2)
+    job = site.add(2)
+    assert len(site.start()) == 2
+    site.add(2)
+    assert site.start() == []
+    scheduler.remove_job(site.state, job, 0.0)
+    scheduler.tasks_taken_over(site.state, 0, job, [0, 1], 0.0)
+    assert len(site.start()) == 2
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -8,9 +8,12 @@
 
 import msgspec
 import pytest
+import tomli_w
 import urllib3
 
 from tests.standins.processes import running_log_service, running_target
+from turmericknot.configtree.records import STREAM, Change, encode
+from turmericknot.platform.log_client import create_log_client
 
 READY_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 10
@@ -39,12 +42,12 @@
         self.start()
 
     def start(self):
-        command = [sys.executable, "-m", "tests.entry.role_process", self._role]
+        settings_path = self.log_path.with_suffix(".toml")
+        settings_path.write_text(tomli_w.dumps(self.settings))
+        command = [sys.executable, "-m", "turmericknot", self._role, "run"]
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [*command, msgspec.json.encode(self.settings).decode()],
-                stdout=log,
-                stderr=log,
+                [*command, str(settings_path)], stdout=log, stderr=log
             )
 
     def stop(self):
@@ -75,7 +78,7 @@
         self._directory = directory
         self.log = stack.enter_context(running_log_service())
         self.entries, self.agents, self.targets = [], [], []
-        publish(self.log, {"teams": TEAMS})
+        publish(self.log, TEAMS)
 
     def add_entry(self, **overrides):
         http, link = free_addresses(2)
@@ -120,12 +123,12 @@
         names = {entry.settings["entry_id"] for entry in self.entries}
 
         def ready():
-            return all(
-                len(entry.status()["agents"]) == len(self.agents)
-                and entry.status()["peers"] == len(self.entries) - 1
-                and entry.status()["config_version"] > 0
-                for entry in self.entries
-            ) and all(set(agent.status()["entries"]) == names for agent in self.agents)
+            for status in (entry.status() for entry in self.entries):
+                usable = sum(agent["usable"] for agent in status["agents"])
+                found = (usable, status["peers"], status["config_version"] > 0)
+                if found != (len(self.agents), len(names) - 1, True):
+                    return False
+            return all(set(agent.status()["entries"]) == names for agent in self.agents)
 
         wait_until(ready)
 
@@ -138,11 +141,13 @@
         return total
 
 
-def publish(log, tree):
-    """Write a configuration record."""
-    body = msgspec.json.encode({"tree": tree})
-    answer = urllib3.request("POST", f"{log.url}/v1/streams/config", body=body)
-    assert answer.status == 200
+def publish(log, teams, base=0):
+    """Append a change that sets the teams."""
+    sets = {f"teams.{name}": subtree for name, subtree in teams.items()}
+    change = Change(b"r" * 12, base, "test", sets)
+    client = create_log_client(log.url)
+    client.append(STREAM, encode(change))
+    client.close()
 
 
 def wait_until(condition, timeout_s=READY_TIMEOUT_S):
--- a/tests/federation.py
+++ b/tests/federation.py
@@ -5,11 +5,13 @@
 """
 
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
+import tomllib
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,12 +23,16 @@
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 40.0
+PORTS = range(20_000, 32_000)
 DEFAULT_TEAMS = {
     "carts": {"allowance": 80, "weight": 1.0},
     "binders": {"allowance": 80, "weight": 1.0},
 }
 
 
+_used_ports = set()
+
+
 class FederationError(Exception):
     """A process of the federation did not do what the test needs."""
 
@@ -62,6 +68,7 @@
     link_addresses: dict = field(default_factory=dict)  # entry -> what peers dial
     log_url: str = ""
     relay_control: str = ""
+    left: set = field(default_factory=set)  # workers whose target announced leaving
 
     @property
     def entries(self):
@@ -153,18 +160,29 @@
 
 
 def free_addresses(count):
-    """Return loopback addresses with ports that are free now."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return loopback addresses with ports that are free now.
+
+    None is returned twice. The ports lie below those that the system gives to
+    outgoing connections, which could otherwise take one before it is bound.
+    """
+    addresses = []
+    while len(addresses) < count:
+        port = random.choice(PORTS)
+        if port not in _used_ports and _can_bind(port):
+            _used_ports.add(port)
+            addresses.append(f"127.0.0.1:{port}")
     return addresses
 
 
+def _can_bind(port):
+    with socket.socket() as sock:
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def split(address):
     host, _, port = address.rpartition(":")
     return host, int(port)
@@ -204,7 +222,9 @@
     (tree / "teams").mkdir(parents=True, exist_ok=True)
     (tree / "federation.toml").touch()
     for name, settings in teams.items():
-        (tree / "teams" / f"{name}.toml").write_text(tomli_w.dumps(settings))
+        path = tree / "teams" / f"{name}.toml"
+        present = tomllib.loads(path.read_text()) if path.exists() else {}
+        path.write_text(tomli_w.dumps({**present, **settings}))
     command = [sys.executable, "-m", "turmericknot", "config", "publish", str(tree)]
     command += ["--log_url", fed.log_url]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=30)
--- a/tests/management/test_cli.py
+++ b/tests/management/test_cli.py
@@ -89,9 +89,12 @@
         (["version", "now"], "Usage: turmericknot version"),
         (["status", "127.0.0.1:1", "--jsno"], "Usage: turmericknot status"),
         (["status", "nowhere"], "host:port"),
+        (["status", "--json=maybe"], "allowed: True or False"),
         (["job", "wait", "carts", "k", "soon"], "EXPIRES_AT: found 'soon'"),
         (["entry", "run", "absent.toml"], "No such file"),
         (["job", "submit", "absent.toml"], "No such file"),
+        (["config", "check", "absent"], "absent is not a directory"),
+        (["config", "show", "--at", "first"], "--at: found 'first'"),
     ],
 )
 def test_wrong_usage(run, arguments, message):
@@ -107,11 +110,21 @@
     assert (code, fake_entry.requests) == (2, [])
 
 
+def test_switch_before_an_argument(run, fake_entry, job_file):
+    """Guards against fire taking the file for the value of the switch."""
+    fake_entry.body = {"status": "complete", "claimed": False}
+    arguments = ("--entry", fake_entry.address)
+    code, out, _ = run("job", "submit", "--json", job_file, *arguments)
+    assert (code, msgspec.json.decode(out)) == (0, fake_entry.body)
+    code, out, _ = run("job", "submit", "--json=False", job_file, *arguments)
+    assert ["claimed", "no"] in [line.split() for line in out.splitlines()]
+
+
 @pytest.mark.parametrize(
     "status, answer, code",
     [
         ("200 OK", {"status": "complete", "results": []}, 0),
-        ("202 Accepted", {"status": "pending"}, 0),
+        ("202 Accepted", {"status": "pending"}, 4),
         ("500 Internal Server Error", {"status": "failed"}, 1),
         ("400 Bad Request", {"error": "tasks is missing"}, 2),
         ("400 Bad Request", {"status": "not_run", "reason": "never_runnable"}, 3),
@@ -141,6 +154,16 @@
     assert f"key=2026 expires_at={body['expires_at']!r}" in err
 
 
+def test_job_that_is_not_waited_for_is_a_success_when_accepted(
+    run, fake_entry, job_file
+):
+    fake_entry.status, fake_entry.body = "202 Accepted", {"status": "pending"}
+    arguments = ("--entry", fake_entry.address, "--wait-s", "0")
+    assert run("job", "submit", job_file, *arguments)[0] == 0
+    body = msgspec.json.decode(fake_entry.requests[0][2])
+    assert (body["wait"], body["wait_s"]) == (False, 0)
+
+
 def test_team_and_key_are_escaped_in_paths(run, fake_entry):
     """Guards against a key with a slash that would address another job."""
     fake_entry.body = {"status": "not_run", "reason": "cancelled"}
@@ -151,6 +174,11 @@
     assert fake_entry.requests[0][1].endswith("?expires_at=12.5")
 
 
+def test_unreachable_log(run):
+    code, _, err = run("config", "show", "--log-url", "http://127.0.0.1:1")
+    assert (code, "no answer" in err) == (5, True)
+
+
 def test_unreachable_entry(run, job_file):
     code, _, err = run("job", "submit", job_file, "--entry", "127.0.0.1:1")
     assert (code, "no entry answers" in err) == (5, True)
@@ -159,16 +187,18 @@
 def test_status_tables(run, fake_entry):
     fake_entry.body = {
         "entry": "e1",
-        "teams": [{"team": "carts", "running": 3, "waiting": 12}],
-        "workers": {},
+        "scheduler": {"slots": 8, "teams": {"carts": {"running": 3, "due": 2.5}}},
+        "agents": [],
         "histograms": [
             {"name": "response", "team": "carts", "count": 4, "p50": 1.0},
         ],
     }
     code, out, _ = run("status", fake_entry.address)
     assert code == 0
-    for text in ("carts", "running", "response", "p999"):
-        assert text in out
+    lines = [line.split() for line in out.splitlines()]
+    assert ["scheduler.slots", "8"] in lines
+    assert ["carts", "3", "2.5"] in lines
+    assert ["response", "carts", "4", "1.0"] in lines
 
 
 def test_check_reports_findings_and_code(run, tmp_path):
--- a/turmericknot/dispatch/demands.py
+++ b/turmericknot/dispatch/demands.py
@@ -17,14 +17,15 @@
 
 def due(state, now):
     """Return the Demand messages due now, to no more agents than the queue needs."""
-    if not state.waiting or now - state.asked_at < ASK_INTERVAL_S:
+    asked = state.asked()
+    if not asked or now - state.asked_at < ASK_INTERVAL_S:
         return []
-    wanted = ceil(state.waiting / SLOTS_PER_AGENT)
+    wanted = ceil(asked / SLOTS_PER_AGENT)
     chosen = _choose(state, wanted, now)
     if not chosen:
         return []
     state.asked_at = now
-    slots = ceil(state.waiting / len(chosen))
+    slots = ceil(asked / len(chosen))
     message = Demand(slots, state.entitlement)
     for agent in chosen:
         agent.asked_at = now
--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -27,6 +27,8 @@
         "deadlines",
         "sequence",
         "waiting",
+        "held",
+        "unfit",
         "long_running",
         "short_seen_at",
         "slots",
@@ -64,6 +66,10 @@
         self.deadlines = []  # heap of (time to look at it, sequence, job)
         self.sequence = 0
         self.waiting = 0
+        # Waiting tasks at the last periodic step that the reserve or a limit holds
+        # back, and those that fit none of the free slots.
+        self.held = 0
+        self.unfit = 0
         self.long_running = 0
         self.short_seen_at = float("-inf")
         self.slots = 0  # of all agents that are not draining
@@ -80,16 +86,19 @@
         """Tell whether an estimator's tasks count as long work at this entry."""
         return estimates.is_long(estimator, self.median, self.policy.long_factor)
 
-    def long_slots(self):
-        """Return the slots that long work may hold while there is short work."""
-        granted = sum(d.window for d in self.placement.domains.values())
-        return (1.0 - self.policy.short_reserve) * granted
+    def granted(self):
+        """Return the slots of all agents that take work."""
+        return sum(domain.window for domain in self.placement.domains.values())
 
-    def long_room(self, now):
-        """Return how many more long tasks may start."""
-        if now - self.short_seen_at > self.policy.short_memory_s:
-            return teams.UNLIMITED
-        return int(self.long_slots()) - self.long_running
+    def asked(self):
+        """Return the waiting tasks that further slots would let start.
+
+        Tasks that the reserve for short work or a limit keeps from starting are left
+        out: agents give idle slots of an entry away only when it asks for none.
+        """
+        if placement.has_room(self.placement):
+            return min(self.waiting, self.unfit)
+        return max(0, self.waiting - self.held)
 
     def update_cost(self, shape):
         """Bring a shape's cost in line with the present size of the federation."""
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -15,6 +15,7 @@
     placement,
     quarantine,
     queues,
+    reserve,
     retries,
     starts,
     teams,
@@ -24,7 +25,7 @@
 from .placement import Assignment
 from .policystate import SchedulerState
 
-SHARES_INTERVAL_S = 0.1  # shares and caps of all teams are computed this often
+SHARES_INTERVAL_S = 0.05  # shares and caps of all teams are computed this often
 STEP_INTERVAL_S = 0.05  # periodic work: long tasks, deferred retries, parked teams
 FORGET_AFTER_S = 60.0  # past its deadline a job that nobody removed is dropped
 
@@ -91,9 +92,10 @@
     state.waiting += len(indexes)
     if idle:
         share = usage.region_share(state.usage, now)
-        fairshare.localise(team, share)
+        fairshare.localise(state.fair, team, share)
         fairshare.activate(state.fair, team, now)
-        fairshare.push(state.fair, team)
+    if not team.heap_sequence:
+        fairshare.push(state.fair, team)  # it was idle, or nothing of it could start
 
 
 def remove_job(state, job, now):
@@ -217,6 +219,17 @@
         state.jobs.pop(job.spec.job, None)
 
 
+def tasks_taken_over(state, stream, job, indexes, now):
+    """Free the slots of tasks whose results go to another entry."""
+    known = state.jobs.get(job)
+    if known is not None:
+        known.started.difference_update(indexes)
+        _forget_if_ended(state, known)
+    agent = state.agents.get(stream)
+    for index in indexes if agent is not None else ():
+        starts.end(state, agent, job, index, now)
+
+
 def tasks_returned(state, stream, job, indexes, now):
     """Queue tasks again that did not start, first in line."""
     agent = state.agents.get(stream)
@@ -262,14 +275,15 @@
     last = state.stepped_at
     if last is not None and now - last < STEP_INTERVAL_S:
         return
+    elapsed_s = 0.0 if last is None else now - last
     state.stepped_at = now
     starts.watch_long(state, now)
+    reserve.sample(state)
     for team in state.teams.values():
         if team.deferred:
-            for job, indexes in retries.release(team, now - (last or now)):
+            for job, indexes in retries.release(team, elapsed_s):
                 _enqueue(state, job, indexes, now, first=True)
-    for reason in list(state.parked):
-        starts.unpark(state, reason)
+    starts.unpark_all(state)
 
 
 def _latest_start(job):
@@ -312,10 +326,11 @@
 
 def waiting(state, stream):
     """Return the waiting tasks and the entitlement that an Assign carries."""
+    asked = state.asked()
     agent = state.agents.get(stream)
-    if agent is not None and state.waiting:
+    if agent is not None and asked:
         agent.told = True
-    return state.waiting, state.entitlement
+    return asked, state.entitlement
 
 
 def spec_for(state, job, index):
@@ -348,14 +363,21 @@
 
 def peer_digest(state, peer, digest, now):
     """Take over the load that another entry reports."""
+    known = list(state.teams.values())
     usage.peer_digest(
-        state.usage, state.fair, lambda name: _team(state, name), peer, digest, now
+        state.usage,
+        state.fair,
+        known,
+        lambda name: _team(state, name),
+        peer,
+        digest,
+        now,
     )
 
 
 def peer_lost(state, peer, now):
     """Forget the load of an entry that is gone or out of reach."""
-    usage.peer_lost(state.usage, lambda name: _team(state, name), peer)
+    usage.peer_lost(state.usage, peer)
     state.shares_at = float("-inf")
 
 
--- a/turmericknot/dispatch/teams.py
+++ b/turmericknot/dispatch/teams.py
@@ -30,6 +30,8 @@
         "running",
         "running_tasks",
         "running_ms",
+        "long_running",
+        "short_use",
         "processors",
         "memory_mb",
         "accelerators",
@@ -40,6 +42,7 @@
         "local_cap",
         "due",
         "heap_sequence",
+        "peers",
         "peer_running",
         "peer_waiting",
         "told",
@@ -56,6 +59,8 @@
         self.waiting = 0  # tasks
         self.running = 0.0  # slots, or more where another resource dominates
         self.running_tasks = 0
+        self.long_running = 0
+        self.short_use = 0.0  # slots that short tasks use, smoothed
         self.running_ms = 0.0  # estimated work of the running tasks
         self.processors = 0.0
         self.memory_mb = 0
@@ -64,6 +69,7 @@
         self.settled_at = 0.0
         self.due = 0.0  # slots due to this entry for the team
         self.heap_sequence = 0
+        self.peers = {}  # peer -> (running, waiting)
         self.peer_running = 0
         self.peer_waiting = 0
         self.told = (0, 0)  # running and waiting in the last digest
--- a/turmericknot/management/exit_codes.py
+++ b/turmericknot/management/exit_codes.py
@@ -17,19 +17,21 @@
 NOT_RUN = 3
 UNKNOWN = 4
 UNREACHABLE = 5
-INTERRUPTED = 130  # as shells report a command that was ended by SIGINT
+# As shells report a command that was ended by SIGINT or SIGPIPE.
+INTERRUPTED = 130
+BROKEN_PIPE = 141
 
 MEANINGS = {
     OK: "success; a submitted job is complete, or accepted when not waited for",
     FAILED: "the job failed, or the command failed for another reason",
     USAGE: "wrong usage, settings, configuration or request",
     NOT_RUN: "the job was not run by this attempt and never will be",
-    UNKNOWN: "the outcome of the job or change cannot be told",
+    UNKNOWN: "the outcome of the job or change cannot be told, or not yet",
     UNREACHABLE: "no entry or log service answers at the address",
 }
 
 _BY_STATUS = {
-    JobStatus.PENDING: OK,
+    JobStatus.PENDING: UNKNOWN,
     JobStatus.COMPLETE: OK,
     JobStatus.FAILED: FAILED,
     JobStatus.NOT_RUN: NOT_RUN,
