--- a/turmericknot/agent/runners.py
+++ b/turmericknot/agent/runners.py
@@ -35,7 +35,12 @@
         """Run a StartTask to its end and report it."""
         if self._address != self._runners.address:
             self._connect()
-        finished = _run(self._client, message)
+        try:
+            finished = _run(self._client, message)
+        except Exception:
+            # Without an outcome the slot would stay in use until the lease lapses.
+            get_logger().exception("task.runner_failed", index=message.task.index)
+            finished = _unknown(message, "runner_failed")
         # Idle first: the report may lead to the next task.
         self._runners.release(self.actor_ref)
         self._runners.post(finished)
@@ -133,6 +138,12 @@
     return Runners(kernel)
 
 
+def _unknown(command, error):
+    return events.TaskFinished(
+        command.job, command.task.index, TaskStatus.UNKNOWN, b"", 0.0, error
+    )
+
+
 def _run(client, command):
     """Run a task and return its TaskFinished."""
     job, index = command.job, command.task.index
@@ -145,9 +156,7 @@
         )
     except TargetLost as error:
         get_logger().warning("task.lost", index=index, error=str(error))
-        return events.TaskFinished(
-            job, index, TaskStatus.UNKNOWN, b"", 0.0, "target_lost"
-        )
+        return _unknown(command, "target_lost")
     status = _STATUSES.get(result.status, TaskStatus.UNKNOWN)
     output = as_json(result.output)
     return events.TaskFinished(job, index, status, output, result.run_ms, result.error)
