--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,10 @@
 run: install
 	$(BIN)/python -m tools.run_demo
 
+# Cases on the size of today; writes build/bench.json.
+bench: install
+	$(BIN)/python -m tools.bench
+
 # One file that needs no Python on the host.
 binary: install
 	$(BIN)/python -m tools.build_binary
--- /dev/null
+++ b/tools/bench/__main__.py
@@ -0,0 +1,130 @@
+"""Run all cases and write build/bench.json: ``python -m tools.bench``.
+
+Every policy plays the same seeds. Figures are medians over the seeds; the spread
+(lowest and highest) goes to build/bench_spread.json. A case that fails is reported,
+its keys are absent, and the exit code is 1.
+"""
+
+import json
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import fire
+
+from tests.federation import ROOT, federation
+from tools.bench import cases, measures, workloads
+
+BUILD = ROOT / "build"
+POLICIES = ("windows", "random", "least_outstanding")
+ENTRIES = 3
+
+
+def main(seeds=(1, 2), policies=POLICIES, quick=False):
+    """Run the bench; ``quick`` leaves out the baselines and plays one seed."""
+    if quick:
+        seeds, policies = tuple(seeds)[:1], POLICIES[:1]
+    started = time.monotonic()
+    samples, problems = {}, []
+    for seed in seeds:
+        for policy in policies:
+            prefix = "" if policy == "windows" else f"{policy}_"
+            _say(started, f"policy {policy}, seed {seed}")
+            for key, value in _run_policy(policy, seed, problems).items():
+                samples.setdefault(prefix + key, []).append(value)
+    _decisions(samples, problems)
+    _write(samples)
+    _say(started, f"{len(samples)} figures in {BUILD / 'bench.json'}")
+    for problem in problems:
+        print(f"FAILED {problem}")
+    return sys.exit(1 if problems else 0)
+
+
+def _run_policy(policy, seed, problems):
+    figures = {}
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        _federation(directory, policy) as fed,
+    ):
+        plan = _load_cases(fed, seed)
+        if policy == "windows":
+            plan += _fault_cases(fed, seed)
+        for name, case in plan:
+            try:
+                found = case()
+                cases.drain(fed)
+            except Exception as error:
+                problems.append(f"{policy} seed {seed} {name}: {error!r}"[:500])
+                continue
+            print(f"    {name}: {_short(found)}", flush=True)
+            figures.update(found)
+        pids = measures.role_pids(fed, [*fed.entry_urls, *fed.agent_urls])
+        figures["process_rss_mb_max"] = max(map(measures.rss_mb, pids))
+    return figures
+
+
+def _federation(directory, policy):
+    return federation(
+        directory,
+        entries=ENTRIES,
+        agents=workloads.WORKERS,
+        slots=workloads.SLOTS_PER_WORKER,
+        teams=workloads.TEAMS,
+        entry_settings={"policy": {"policy": policy}, "http_threads": 512},
+    )
+
+
+def _load_cases(fed, seed):
+    return [
+        ("steady", lambda: cases.steady(fed, seed, 12.0)),
+        ("short_and_long", lambda: cases.short_and_long(fed, seed, 9.0)),
+        ("swing", lambda: cases.swing(fed, seed, 4.0, 10.0, 5.0)),
+        ("flood", lambda: cases.flood(fed, seed, 8.0)),
+        ("faulty_worker", lambda: cases.faulty_worker(fed, seed, 6.0)),
+    ]
+
+
+def _fault_cases(fed, seed):
+    return [
+        ("cost", lambda: cases.cost_of_a_task(fed, seed, 6.0)),
+        ("configuration", lambda: cases.configuration(fed)),
+        ("kill_entry", lambda: cases.kill(fed, seed, "e2", "kill_entry_goodput")),
+        ("kill_agent", lambda: cases.kill(fed, seed, "a2", "kill_agent_goodput")),
+        ("leaving_target", lambda: cases.leaving_target(fed, seed)),
+        ("silent_agents", lambda: cases.silent_agents(fed)),
+    ]
+
+
+def _decisions(samples, problems):
+    """Time the decision modules at the full size in a process of their own."""
+    command = [sys.executable, "-m", "tools.bench_decisions"]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    try:
+        figures = json.loads(done.stdout)
+        samples["decisions_per_s_690"] = [figures["decisions_per_s"]]
+    except (ValueError, KeyError):
+        problems.append(f"decisions: {done.stdout[-200:]}{done.stderr[-200:]}")
+
+
+def _write(samples):
+    BUILD.mkdir(exist_ok=True)
+    medians = {key: statistics.median(values) for key, values in samples.items()}
+    spread = {key: [min(values), max(values)] for key, values in samples.items()}
+    for name, content in (("bench", medians), ("bench_spread", spread)):
+        text = json.dumps(dict(sorted(content.items())), indent=1, allow_nan=False)
+        Path(BUILD / f"{name}.json").write_text(text + "\n")
+
+
+def _short(figures):
+    return ", ".join(f"{key} {value:.3f}" for key, value in figures.items())
+
+
+def _say(started, text):
+    print(f"{time.monotonic() - started:6.0f} s  {text}", flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
