--- a/tests/dispatch/workloads.py
+++ b/tests/dispatch/workloads.py
@@ -157,6 +157,24 @@
     return {"straggler_ratio_p99": percentile(ratios, 0.99)}
 
 
+def full_size(policy, seed):
+    """10 entries, 690 agents and 250 teams at 95% load for 6 s."""
+    sizes = Distribution("lognormal", 1.0, 200.0, 10.0, 1.0)
+    streams = [_stream(f"team-{number}", job_tasks=sizes) for number in range(250)]
+    workload = Workload(streams, seed=seed, duration_s=6.0, slots=5520, load=0.95)
+    trace = generate(workload, "driver")
+    driver = Driver(trace, policy, entries=10, agents=690, domains=5, seed=seed).run()
+    ideal = ideal_responses(trace)
+    ratios = [response / ideal[number] for response, number in _responses(driver)]
+    samples = [s for s in driver.waiting_log if 1.0 <= s.at < 6.0]
+    idle = sum(max(0, min(s.waiting, 5520 - s.running)) for s in samples)
+    return {
+        "full_response_ratio_p99": percentile(ratios, 0.99),
+        "full_unused_share": idle / (5520 * len(samples)),
+        "full_messages_per_task": driver.messages / len(driver.runs),
+    }
+
+
 WORKLOADS = {
     "response": response_ratio,
     "head_of_line": head_of_line,
@@ -164,4 +182,5 @@
     "fairness": fairness,
     "faulty": faulty_worker,
     "straggler": straggler,
+    "full_size": full_size,
 }
--- a/tools/drive_policy.py
+++ b/tools/drive_policy.py
@@ -1,6 +1,8 @@
 """Print the figures of the policy's discrete-event driver, mean over seeds.
 
 Usage: python -m tools.drive_policy [--policies=a,b] [--workloads=a,b] [--seeds=1,2,3]
+
+The workload full_size takes a minute per seed and is played when it is named.
 """
 
 import json
@@ -11,9 +13,10 @@
 from tests.dispatch.workloads import WORKLOADS
 
 POLICIES = ("windows", "random", "least_outstanding")
+DEFAULT = tuple(name for name in WORKLOADS if name != "full_size")
 
 
-def main(policies=POLICIES, workloads=tuple(WORKLOADS), seeds=(1, 2, 3)):
+def main(policies=POLICIES, workloads=DEFAULT, seeds=(1, 2, 3)):
     """Play each workload under each policy on the same seeds."""
     for policy in _names(policies):
         figures = {}
--- a/turmericknot/dispatch/demands.py
+++ b/turmericknot/dispatch/demands.py
@@ -5,6 +5,27 @@
 DEMAND_END_S = 0.05  # demand must be gone this long before agents are told
 ASK_INTERVAL_S = 0.005  # time for the agents asked first to answer
 TASKS_PER_AGENT = 4  # slots that one asked agent is expected to give
+MESSAGES_PER_START = 0.5  # budget of Demand messages that started tasks earn
+MESSAGES_PER_S = 20.0  # budget that an entry earns in any case
+MAX_BUDGET = 400.0
+
+
+class Demands:
+    """What agents were told about this entry's waiting work, and when."""
+
+    __slots__ = ("active", "idle_since", "asked_at", "budget", "earned_at")
+
+    def __init__(self):
+        self.active = False
+        self.idle_since = None
+        self.asked_at = float("-inf")
+        self.budget = MAX_BUDGET
+        self.earned_at = 0.0
+
+
+def started(demands, count):
+    """Earn budget for started tasks."""
+    demands.budget = min(MAX_BUDGET, demands.budget + count * MESSAGES_PER_START)
 
 
 def due(state, now):
@@ -15,28 +36,38 @@
     likely to be needed, and the rest only while work still waits: each one that
     moves slots sends two messages itself.
     """
+    demands = state.demands
+    _earn(demands, now)
     asked = state.asked()
     if asked:
-        state.idle_since = None
-        state.demanding = True
+        demands.idle_since = None
+        demands.active = True
         return _ask(state, asked, now)
-    if not state.demanding:
+    if not demands.active:
         return []
-    if state.idle_since is None:
-        state.idle_since = now
-    if now - state.idle_since < DEMAND_END_S:
+    if demands.idle_since is None:
+        demands.idle_since = now
+    if now - demands.idle_since < DEMAND_END_S:
         return []
-    state.demanding = False
     told = [agent for agent in state.agents.values() if agent.told_waiting]
-    return _tell(state, told, 0)
+    ended = told[: int(demands.budget)]
+    demands.active = len(ended) < len(told)
+    return _tell(state, ended, 0)
+
+
+def _earn(demands, now):
+    earned = (now - demands.earned_at) * MESSAGES_PER_S
+    demands.earned_at = now
+    demands.budget = min(MAX_BUDGET, demands.budget + earned)
 
 
 def _ask(state, asked, now):
-    if now - state.asked_at < ASK_INTERVAL_S:
+    demands = state.demands
+    if now - demands.asked_at < ASK_INTERVAL_S or demands.budget < 1:
         return []
-    state.asked_at = now
+    demands.asked_at = now
     candidates = [agent for agent in state.agents.values() if _may_gain(agent)]
-    count = min(len(candidates), 1 + int(asked / TASKS_PER_AGENT))
+    count = min(len(candidates), 1 + asked // TASKS_PER_AGENT, int(demands.budget))
     return _tell(state, state.rng.sample(candidates, count), asked)
 
 
@@ -48,4 +79,5 @@
     message = Demand(asked, state.entitlement)
     for agent in agents:
         agent.told_waiting = asked > 0
+    state.demands.budget -= len(agents)
     return [(agent.stream, message) for agent in agents]
--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from . import estimates, fairshare, placement, quarantine, teams, usage
+from . import demands, estimates, fairshare, placement, quarantine, teams, usage
 
 
 class SchedulerState:
@@ -38,9 +38,7 @@
         "entitlement",
         "shares_at",
         "stepped_at",
-        "demanding",
-        "idle_since",
-        "asked_at",
+        "demands",
     )
 
     def __init__(self, settings, rng):
@@ -80,9 +78,7 @@
         self.entitlement = 0.0
         self.shares_at = float("-inf")
         self.stepped_at = None
-        self.demanding = False
-        self.idle_since = None
-        self.asked_at = float("-inf")
+        self.demands = demands.Demands()
 
     def is_long(self, estimator):
         """Tell whether an estimator's tasks count as long work at this entry."""
--- a/turmericknot/dispatch/starts.py
+++ b/turmericknot/dispatch/starts.py
@@ -1,6 +1,7 @@
 """Choose what starts next: team by fair share, queue, job, then agents."""
 
 from . import (
+    demands,
     estimates,
     fairshare,
     placement,
@@ -158,6 +159,7 @@
     fairshare.settle(team, now)
     teams.started(team, shape, shape.estimator.mean, count)
     retries.started(team, count)
+    demands.started(state.demands, count)
     state.waiting -= count
 
 
