Tell a team's faults from a worker's; start the longest tasks of a job first

Cause: a test showed that a new team whose tasks all fail put a healthy worker into quarantine; a task returned after its job's last start time never expired. Change: failures of a team on three workers in a row are the team's; probes use teams with a low failure rate; returned tasks set the expiry anew; the longest tasks of a job go first.

--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -92,10 +92,9 @@
 def test_failing_team_quarantines_no_worker(create_site):
     """Guards against blaming workers for a team's own faults."""
     site = create_site(agents=10, slots=2)
-    play_faulty(site, 20)  # the teams' rates are known by then
-    site = create_site(agents=10, slots=2)
-    play_faulty(site, 200, faulty=(), team_fails=True)
-    assert not site.state.quarantine.held
+    for _ in range(200):
+        play_faulty(site, 1, faulty=(), team_fails=True)
+        assert not site.state.quarantine.held
 
 
 def test_returned_tasks_over_the_budget_wait(create_site):
--- a/tests/dispatch/test_scheduler.py
+++ b/tests/dispatch/test_scheduler.py
@@ -106,3 +106,30 @@
     site.finish((0, job, 0))
     assert site.start() == []
     assert scheduler.remove_job(site.state, job, 1.2) == [1, 2]
+
+
+def test_priorities_order_a_teams_jobs(create_site):
+    """Guards against urgent work that waits behind a team's bulk work."""
+    tree = {"teams": {"red": {"priorities": {"check": 5}}}}
+    site = create_site(agents=1, slots=1, tree=tree)
+    expected = [site.add(1, task_class="bulk") for _ in range(2)]
+    expected.insert(0, site.add(1, task_class="check"))
+    expected.insert(0, site.add(1, task_class="bulk", priority=9))
+    for job in expected:
+        (task,) = site.start()
+        assert task[1] == job
+        site.finish(task)
+
+
+def test_returned_task_of_a_started_job_still_expires(create_site):
+    """Guards against a job without an end when its agent hands a task back late."""
+    site = create_site(agents=1, slots=1)
+    job = site.add(1, deadline_s=1.0)
+    site.start()
+    assert scheduler.expired(site.state, 1.1) == []
+    site.now = 1.2
+    scheduler.set_window(site.state, 0, Window(0, 2), 1.2)
+    scheduler.tasks_returned(site.state, 0, job, [0], 1.2)
+    assert scheduler.expired(site.state, 1.3) == [job]
+    assert scheduler.remove_job(site.state, job, 1.3) == [0]
+    assert not site.state.jobs
--- a/turmericknot/dispatch/estimates.py
+++ b/turmericknot/dispatch/estimates.py
@@ -1,6 +1,7 @@
 """Run-time estimates learned from finished tasks; all times in milliseconds."""
 
 import math
+from functools import lru_cache
 
 SAMPLES = 48  # observations kept per estimator
 REFRESH_EVERY = 8  # observations between two sorts of a full window
@@ -35,6 +36,7 @@
         self.count = 0
 
 
+@lru_cache(maxsize=1024)
 def bucket(declared_ms):
     """Return the size class of a declaration: tasks in it share an estimator."""
     if declared_ms <= 1.0:
--- a/turmericknot/dispatch/placement.py
+++ b/turmericknot/dispatch/placement.py
@@ -309,7 +309,7 @@
             best, best_share = pool, share
     state.choice = best
     state.choice_claimed = claimed
-    state.choice_left = min(CHOICE_PICKS, len(best) // CHOICE_PICKS) if best else 0
+    state.choice_left = min(CHOICE_PICKS, 1 + len(best) // 2) if best else 0
     return best
 
 
--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -29,6 +29,7 @@
         "waiting",
         "held",
         "unfit",
+        "asked_now",
         "long_running",
         "short_seen_at",
         "slots",
@@ -69,6 +70,7 @@
         # back, and those that fit none of the free slots.
         self.held = 0
         self.unfit = 0
+        self.asked_now = 0  # asked() after the last starts
         self.long_running = 0
         self.short_seen_at = float("-inf")
         self.slots = 0  # of all agents that are not draining
--- a/turmericknot/dispatch/quarantine.py
+++ b/turmericknot/dispatch/quarantine.py
@@ -3,6 +3,7 @@
 RATE_STEP = 0.1  # weight of the newest outcome in a failure rate
 TEAM_RATE_STEP = 0.02  # slower: one worker's failures must not blame a team
 LOW_RATE = 0.25  # failure rate below which the others count as healthy
+SPREAD = 3  # workers on which a team failed in a row that make it the team's fault
 PROBE_AFTER_S = 1.0
 PROBE_AFTER_MAX_S = 60.0
 PROBES_TO_RELEASE = 2  # successes in a row that end a quarantine
@@ -43,13 +44,17 @@
     step = RATE_STEP * (failed - health.rate)
     health.rate += step
     state.rate_sum += step
+    if not failed:
+        team.failed_on.clear()
+    elif len(team.failed_on) < SPREAD:
+        team.failed_on.add(agent)
     if agent in state.held:
         return _probe_ended(state, agent, failed, now)
     if not failed:
         health.failures = 0
         return False
-    if team.failure_rate > LOW_RATE and _others_rate(state, health) > EPSILON:
-        return False  # the team's tasks fail elsewhere too
+    if _blames_team(state, team, health):
+        return False
     health.failures += 1
     if health.failures < state.failures or not _may_hold(state, health):
         return False
@@ -60,6 +65,13 @@
     return True
 
 
+def _blames_team(state, team, health):
+    """Tell whether the team's tasks fail on other workers too."""
+    if len(team.failed_on) >= SPREAD:
+        return True
+    return team.failure_rate > LOW_RATE and _others_rate(state, health) > EPSILON
+
+
 def _others_rate(state, health):
     return (state.rate_sum - health.rate) / max(1, state.workers - 1)
 
--- a/turmericknot/dispatch/queues.py
+++ b/turmericknot/dispatch/queues.py
@@ -211,7 +211,10 @@
 
 
 def in_order(team):
-    """Return the team's queues: highest priority first, then oldest job first."""
+    """Return the team's queues by priority, then oldest job, then longest tasks.
+
+    Starting the longest tasks of a job first ends the job earliest.
+    """
     queues = team.queues
     if len(queues) == 1:
         return list(queues.values())
@@ -219,7 +222,7 @@
 
 
 def _rank(queue):
-    return (-queue.priority, queue.lots[0].sequence)
+    return (-queue.priority, queue.lots[0].sequence, -queue.shape.estimator.mean)
 
 
 def waiting_work(team, priority=None):
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -104,8 +104,8 @@
     if known is None:
         return []
     known.removed = True
-    dropped = known.doomed or []
-    dropped += _drop_queued(state, known)
+    dropped = (known.doomed or []) + _drop_queued(state, known)
+    known.doomed = []
     if not known.started:
         del state.jobs[job]
     return sorted(dropped)
@@ -236,13 +236,16 @@
         _enqueue(state, known, ready, now, first=True)
         if held:
             retries.defer(known.team, known, held)
+        heappush(state.deadlines, (_latest_start(known), known.sequence, known))
 
 
 def next_assignments(state, now):
     """Return the assignments to send now, grouped by agent and job."""
     _refresh_shares(state, now)
     _step(state, now)
-    return starts.next_assignments(state, now)
+    assignments = starts.next_assignments(state, now)
+    state.asked_now = state.asked()
+    return assignments
 
 
 def _refresh_shares(state, now):
@@ -313,7 +316,7 @@
 
 def waiting(state, stream):
     """Return the waiting tasks and the entitlement that an Assign carries."""
-    asked = state.asked()
+    asked = state.asked_now
     agent = state.agents.get(stream)
     if agent is not None:
         agent.told_waiting = asked > 0
--- a/turmericknot/dispatch/starts.py
+++ b/turmericknot/dispatch/starts.py
@@ -174,6 +174,8 @@
     if team is None:
         return
     fairshare.push(state.fair, team)
+    if team.failure_rate > quarantine.LOW_RATE:
+        return  # its tasks would not tell whether the worker has recovered
     for queue in queues.in_order(team):
         state.update_cost(queue.shape)
         if _may_probe(state, team, queue, agent):
--- a/turmericknot/dispatch/teams.py
+++ b/turmericknot/dispatch/teams.py
@@ -47,6 +47,7 @@
         "peer_waiting",
         "told",
         "failure_rate",
+        "failed_on",
         "retry_tokens",
         "deferred",
     )
@@ -74,6 +75,7 @@
         self.peer_waiting = 0
         self.told = (0, 0)  # running and waiting in the last digest
         self.failure_rate = 0.0
+        self.failed_on = set()  # workers of its failures since the last success
         self.retry_tokens = 0.0
         self.deferred = []  # returned tasks over the retry budget
         configure(self, {})
