Let the reserve give way while a team is below its share

Change: the part of the reserve beyond short_reserve is not kept while the team is below its share and other teams queue.

--- a/turmericknot/dispatch/reserve.py
+++ b/turmericknot/dispatch/reserve.py
@@ -18,7 +18,7 @@
     if now - state.short_seen_at > state.policy.short_memory_s:
         return teams.UNLIMITED
     room = long_slots(state) - state.long_running
-    if team.short_use > NO_USE:
+    if team.short_use > NO_USE and not _would_lose(state.fair, team):
         # Short work of other teams is protected by their shares; the team's own
         # needs more than the common reserve when it uses more.
         reach = team.due + state.fair.spare
@@ -27,6 +27,12 @@
     return int(room)
 
 
+def _would_lose(fair, team):
+    """Tell whether slots that a team keeps free would go to other teams."""
+    contended = fair.spare <= 0 and fair.weights > team.weight
+    return contended and team.running < team.due
+
+
 def sample(state):
     """Follow the number of slots that the teams' short work uses."""
     for team in state.teams.values():
