--- a/turmericknot/dispatch/agent_state.py
+++ b/turmericknot/dispatch/agent_state.py
@@ -74,6 +74,7 @@
     queue: deque = field(default_factory=deque)
     running: dict[tuple, RunningTask] = field(default_factory=dict)
     draining: str = ""
+    draining_at: float = 0.0
     drained: bool = False
     config_version: int = 0
     config_tree: bytes = b""
@@ -136,6 +137,7 @@
 def update_windows(state, now):
     """Split the slots anew; return a Window for each entry whose part changed."""
     holders = [link.holder for link in state.links.values()]
+    windows.settle_demand(holders, now)
     windows.rebalance(usable_slots(state, now), holders, state.rng)
     out = []
     for link in state.links.values():
--- a/turmericknot/dispatch/demands.py
+++ b/turmericknot/dispatch/demands.py
@@ -1,83 +1,66 @@
-"""Tell agents when the entry begins or stops to have waiting work."""
+"""Ask agents for more slots when work waits."""
 
-from turmericknot.wire.messages import Demand
-
-DEMAND_END_S = 0.05  # demand must be gone this long before agents are told
-ASK_INTERVAL_S = 0.005  # time for the agents asked first to answer
-TASKS_PER_AGENT = 4  # slots that one asked agent is expected to give
-MESSAGES_PER_START = 0.5  # budget of Demand messages that started tasks earn
-MESSAGES_PER_S = 20.0  # budget that an entry earns in any case
-MAX_BUDGET = 400.0
-
-
-class Demands:
-    """What agents were told about this entry's waiting work, and when."""
-
-    __slots__ = ("active", "idle_since", "asked_at", "budget", "earned_at")
-
-    def __init__(self):
-        self.active = False
-        self.idle_since = None
-        self.asked_at = float("-inf")
-        self.budget = MAX_BUDGET
-        self.earned_at = 0.0
+from math import ceil
 
+from turmericknot.wire.messages import Demand
 
-def started(demands, count):
-    """Earn budget for started tasks."""
-    demands.budget = min(MAX_BUDGET, demands.budget + count * MESSAGES_PER_START)
+# An agent without idle slots remembers the demand, so asking again only makes up for
+# a demand that it dropped in the meantime; the pause doubles while nothing comes.
+ASK_AGAIN_S = 0.1
+ASK_AGAIN_LIMIT_S = 1.6
+# At 70% load an agent of 8 slots has more than two idle ones; asking every agent
+# for every short queue cost more messages than the tasks themselves.
+SLOTS_PER_AGENT = 2
+# Agents are asked in small groups, so that the first answers can end the demand.
+ASK_INTERVAL_S = 0.003
 
 
 def due(state, now):
-    """Return the Demand messages due now.
-
-    They are sent when the entry goes from no waiting work to waiting work or back;
-    all other changes travel with ``Assign``. No more agents are asked than are
-    likely to be needed, and the rest only while work still waits: each one that
-    moves slots sends two messages itself.
-    """
-    demands = state.demands
-    _earn(demands, now)
+    """Return the Demand messages due now, to no more agents than the queue needs."""
     asked = state.asked()
-    if asked:
-        demands.idle_since = None
-        demands.active = True
-        return _ask(state, asked, now)
-    if not demands.active:
+    if not asked or now - state.asked_at < ASK_INTERVAL_S:
         return []
-    if demands.idle_since is None:
-        demands.idle_since = now
-    if now - demands.idle_since < DEMAND_END_S:
+    wanted = ceil(asked / SLOTS_PER_AGENT)
+    chosen = _choose(state, wanted, now)
+    if not chosen:
         return []
-    told = [agent for agent in state.agents.values() if agent.told_waiting]
-    ended = told[: int(demands.budget)]
-    demands.active = len(ended) < len(told)
-    return _tell(state, ended, 0)
-
-
-def _earn(demands, now):
-    earned = (now - demands.earned_at) * MESSAGES_PER_S
-    demands.earned_at = now
-    demands.budget = min(MAX_BUDGET, demands.budget + earned)
-
-
-def _ask(state, asked, now):
-    demands = state.demands
-    if now - demands.asked_at < ASK_INTERVAL_S or demands.budget < 1:
-        return []
-    demands.asked_at = now
-    candidates = [agent for agent in state.agents.values() if _may_gain(agent)]
-    count = min(len(candidates), 1 + asked // TASKS_PER_AGENT, int(demands.budget))
-    return _tell(state, state.rng.sample(candidates, count), asked)
+    state.asked_at = now
+    slots = ceil(asked / len(chosen))
+    message = Demand(slots, state.entitlement)
+    for agent in chosen:
+        agent.asked_at = now
+        agent.ask_pause = min(2 * agent.ask_pause, ASK_AGAIN_LIMIT_S)
+    return [(agent.stream, message) for agent in chosen]
+
+
+def window_grew(agent):
+    """Allow the agent to be asked again soon: it has slots to give."""
+    agent.ask_pause = ASK_AGAIN_S
+
+
+def _choose(state, wanted, now):
+    """Return agents that may have idle slots of other entries, in rotation."""
+    ring = state.ask_ring
+    if len(ring) != len(state.agents):
+        ring.clear()
+        ring.extend(state.agents)
+    chosen = []
+    for _ in range(len(ring)):
+        if len(chosen) == wanted:
+            break
+        stream = ring[0]
+        ring.rotate(-1)
+        agent = state.agents.get(stream)
+        if agent is None:
+            ring.clear()
+            break
+        if agent.told:
+            agent.told = False
+            agent.asked_at = now
+        elif _may_gain(agent) and now - agent.asked_at >= agent.ask_pause:
+            chosen.append(agent)
+    return chosen
 
 
 def _may_gain(agent):
-    return agent.usable and not agent.told_waiting and agent.window < agent.slots
-
-
-def _tell(state, agents, asked):
-    message = Demand(asked, state.entitlement)
-    for agent in agents:
-        agent.told_waiting = asked > 0
-    state.demands.budget -= len(agents)
-    return [(agent.stream, message) for agent in agents]
+    return agent.usable and agent.window < agent.slots
--- a/turmericknot/dispatch/placement.py
+++ b/turmericknot/dispatch/placement.py
@@ -59,7 +59,9 @@
         "slowness",
         "slow",
         "health",
-        "told_waiting",
+        "asked_at",
+        "ask_pause",
+        "told",
     )
 
     def __init__(self, stream, hello, domain):
@@ -88,7 +90,9 @@
         self.slow = False
         self.slowness = 1.0  # run time over the estimate, smoothed
         self.health = Health()
-        self.told_waiting = False
+        self.asked_at = float("-inf")  # when more slots were asked for
+        self.ask_pause = 0.1
+        self.told = False  # an Assign carried the demand since
 
 
 class Domain:
--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from . import demands, estimates, fairshare, placement, quarantine, teams, usage
+from . import estimates, fairshare, placement, quarantine, teams, usage
 
 
 class SchedulerState:
@@ -39,7 +39,8 @@
         "entitlement",
         "shares_at",
         "stepped_at",
-        "demands",
+        "asked_at",
+        "ask_ring",
     )
 
     def __init__(self, settings, rng):
@@ -80,7 +81,8 @@
         self.entitlement = 0.0
         self.shares_at = float("-inf")
         self.stepped_at = None
-        self.demands = demands.Demands()
+        self.asked_at = float("-inf")
+        self.ask_ring = deque()
 
     def is_long(self, estimator):
         """Tell whether an estimator's tasks count as long work at this entry."""
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -161,6 +161,8 @@
     agent = state.agents.get(stream)
     if agent is None or window.sequence < agent.window_sequence:
         return
+    if window.slots > agent.window:
+        demands.window_grew(agent)
     agent.window = window.slots
     agent.window_sequence = window.sequence
     placement.refresh(state.placement, agent)
@@ -217,6 +219,17 @@
         state.jobs.pop(job.spec.job, None)
 
 
+def tasks_taken_over(state, stream, job, indexes, now):
+    """Free the slots of tasks whose results go to another entry."""
+    known = state.jobs.get(job)
+    if known is not None:
+        known.started.difference_update(indexes)
+        _forget_if_ended(state, known)
+    agent = state.agents.get(stream)
+    for index in indexes if agent is not None else ():
+        starts.end(state, agent, job, index, now)
+
+
 def tasks_returned(state, stream, job, indexes, now):
     """Queue tasks again that did not start, first in line."""
     agent = state.agents.get(stream)
@@ -318,8 +331,8 @@
     """Return the waiting tasks and the entitlement that an Assign carries."""
     asked = state.asked_now
     agent = state.agents.get(stream)
-    if agent is not None:
-        agent.told_waiting = asked > 0
+    if agent is not None and asked:
+        agent.told = True
     return asked, state.entitlement
 
 
