Check a refusal as of the newest attempt that waits for it

Change: a joining attempt renews the arrival and restarts the check; the world reports refused addresses of dead entries, so that whole owners are fenced.

--- a/tests/fuzz/knockouts.py
+++ b/tests/fuzz/knockouts.py
@@ -196,6 +196,11 @@
     patch(cancellation, "_is_recorded", lambda state, job: True)
 
 
+def renewal(patch):
+    """A refusal holds as of the first attempt that waits for it."""
+    patch(submissions, "renew", lambda state, job: None)
+
+
 KNOCKOUTS = {
     function.__name__: function
     for function in (
@@ -215,5 +220,6 @@
         absence_unclaimed,
         cancel_undecided,
         cancel_record,
+        renewal,
     )
 }
--- a/tests/fuzz/test_directed.py
+++ b/tests/fuzz/test_directed.py
@@ -149,7 +149,27 @@
     world.settle(2.0)
 
 
+def resubmitted_while_undecided(world):
+    """A second attempt joins one whose refusal would rest on an older read."""
+    first, second = world.entries[:2]
+    spec = world.new_job(1, False, 25.0, 12.0)
+    world.submit(first, spec)
+    world.ask_log(first)
+    world.answer_read(first)
+    first.log_reachable = False
+    world.submit(second, spec)
+    for pending in [p for p in world.appends if p.node is second]:
+        world.land_append(pending)
+    land_and_read(world, second)
+    for agent in world.agents:
+        exchange(world, agent, second)
+    world.step += 1
+    world.submit(first, spec)
+    world.advance(0.5)
+
+
 SCENARIOS = {
+    "renewal": resubmitted_while_undecided,
     "refusal_forgotten": refused_then_claimed_elsewhere,
     "cancel_undecided": cancel_while_another_claims,
     "cancel_record": cancel_before_the_owner_dies,
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -172,6 +172,12 @@
     def _read(self, node, command):
         self.ask_log(node)
 
+    def _dial(self, node, command):
+        """Tell an entry that an address refuses connections; links open elsewhere."""
+        for target in self.entries:
+            if target.name == command.entry_id and target.state is None:
+                self.feed_later(node, events.PeerUnreachable(target.name, True))
+
     def _start_task(self, node, command):
         owner = node.state.running[(command.job, command.task.index)].owner
         self.oracle.started(command.job, command.task.index, owner, self.step)
@@ -187,6 +193,7 @@
         commands.Respond: _respond,
         commands.AppendRecord: _append,
         commands.ReadLog: _read,
+        commands.DialEntry: _dial,
         commands.StartTask: _start_task,
         commands.StopTask: _stop_task,
     }
--- a/turmericknot/dispatch/peers.py
+++ b/turmericknot/dispatch/peers.py
@@ -140,6 +140,7 @@
         answers.answer_peer(state, stream, message.request, job.id, job.answer)
     else:
         job.peer_requests.append((stream, message.request))
+        submissions.renew(state, job)
 
 
 def cancel_job(state, stream, message):
--- a/turmericknot/dispatch/submissions.py
+++ b/turmericknot/dispatch/submissions.py
@@ -31,8 +31,19 @@
         )
         return
     join(state, job, event.request)
-    if job.spec is None and job.phase is not Phase.ENDED:
+    if job.phase is Phase.ENDED:
+        return
+    if job.spec is None:
         _add_spec(state, job, spec)
+    else:
+        renew(state, job)
+
+
+def renew(state, job):
+    """Have a refusal hold as of now, because another attempt waits for it too."""
+    job.arrived = state.now
+    if job.phase is Phase.REFUSING:
+        refuse(state, job, job.refusal)
 
 
 def _add_spec(state, job, spec):
