Move the scheduler's figures for operators beside its state

Change: status() returns figures() of policystate.py. Conclusion: no change of behaviour; tests/dispatch pass.

--- a/turmericknot/dispatch/policystate.py
+++ b/turmericknot/dispatch/policystate.py
@@ -112,3 +112,30 @@
             need = getattr(shape, name)
             if need and total:
                 shape.cost = max(shape.cost, need * self.slots / total)
+
+
+def figures(state):
+    """Return the load of the entry, its agents and its teams for operators."""
+    return {
+        "config_version": state.config_version,
+        "agents": len(state.agents),
+        "slots": state.slots,
+        "granted": sum(agent.window for agent in state.agents.values()),
+        "running": sum(agent.running for agent in state.agents.values()),
+        "long_running": state.long_running,
+        "waiting": state.waiting,
+        "entitlement": state.entitlement,
+        "median_ms": state.median.value,
+        "quarantined": [a.hello.worker for a in state.quarantine.held],
+        "peers": len(state.usage.peers),
+        "teams": {
+            team.name: {
+                "running": team.running_tasks,
+                "waiting": team.waiting,
+                "due": team.due,
+                "failure_rate": team.failure_rate,
+            }
+            for team in state.teams.values()
+            if team.running_tasks or team.waiting
+        },
+    }
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -23,7 +23,7 @@
 )
 from .admission import Refusal
 from .placement import Assignment
-from .policystate import SchedulerState
+from .policystate import SchedulerState, figures
 
 SHARES_INTERVAL_S = 0.05  # shares and caps of all teams are computed this often
 STEP_INTERVAL_S = 0.05  # periodic work: long tasks, deferred retries, parked teams
@@ -386,29 +386,7 @@
 
 def status(state, now):
     """Return figures for operators."""
-    return {
-        "config_version": state.config_version,
-        "agents": len(state.agents),
-        "slots": state.slots,
-        "granted": sum(agent.window for agent in state.agents.values()),
-        "running": sum(agent.running for agent in state.agents.values()),
-        "long_running": state.long_running,
-        "waiting": state.waiting,
-        "entitlement": state.entitlement,
-        "median_ms": state.median.value,
-        "quarantined": [a.hello.worker for a in state.quarantine.held],
-        "peers": len(state.usage.peers),
-        "teams": {
-            team.name: {
-                "running": team.running_tasks,
-                "waiting": team.waiting,
-                "due": team.due,
-                "failure_rate": team.failure_rate,
-            }
-            for team in state.teams.values()
-            if team.running_tasks or team.waiting
-        },
-    }
+    return figures(state)
 
 
 __all__ = ["Assignment", "Refusal"]
