Keep the reserve and the stragglers' group out of the baselines

Change: both apply to the policy windows only; the driver counts the teams' tasks in the agents' queues, so that fair_min_share has one rule for all policies.

--- a/tests/dispatch/driver.py
+++ b/tests/dispatch/driver.py
@@ -264,6 +264,9 @@
         for state in self.schedulers:
             for team in state.teams.values():
                 by_team[team.name] = by_team.get(team.name, 0) + team.waiting
+        for site in self.sites:
+            for queued in site.queue:
+                by_team[queued.assign.team] += 1
         sample = SimpleNamespace(
             at=self.now, waiting=waiting, running=running, teams=by_team
         )
--- a/turmericknot/dispatch/placement.py
+++ b/turmericknot/dispatch/placement.py
@@ -230,6 +230,8 @@
 
 def observe_run(state, agent, run_ms, estimate_ms):
     """Compare a run time with what the task takes on other workers."""
+    if not state.windowed:
+        return  # the baselines know no stragglers
     ratio = run_ms / estimate_ms
     if ratio > MAX_RATIO:
         ratio = MAX_RATIO
@@ -326,8 +328,7 @@
     if agent is None:
         return None
     if count > 1:
-        # A large batch is spread evenly over the agents that are free.
-        if state.windowed:
+        if state.windowed:  # a large batch is spread evenly over the free agents
             count = 1 + (count - 1) // max(1, state.pooled)
             count = min(count, agent.window - agent.running)
         else:
--- a/turmericknot/dispatch/reserve.py
+++ b/turmericknot/dispatch/reserve.py
@@ -17,6 +17,8 @@
     """Return how many more long tasks of a team may start."""
     if now - state.short_seen_at > state.policy.short_memory_s:
         return teams.UNLIMITED
+    if not state.placement.windowed:
+        return teams.UNLIMITED  # the baselines queue at the agents without a reserve
     room = long_slots(state) - state.long_running
     if team.short_use > NO_USE and not _would_lose(state.fair, team):
         # Short work of other teams is protected by their shares; the team's own
