--- a/turmericknot/agent/connection.py
+++ b/turmericknot/agent/connection.py
@@ -26,14 +26,13 @@
 class TargetConnection:
     """Take the place of the pool of a TargetClient; one call at a time."""
 
-    __slots__ = ("_connection", "_base")
+    __slots__ = ("_connection",)
 
-    def __init__(self, connection, base):
+    def __init__(self, connection):
         self._connection = connection
-        self._base = base
 
-    def request(self, method, url, body, headers, timeout, retries, redirect):
-        """Send a request once and return its Reply.
+    def urlopen(self, method, path, body, headers, timeout, **options):
+        """Send a request once and return its Reply; ``options`` are the pool's.
 
         Errors of the connect phase are those of urllib3; any later one is a
         ProtocolError, because the request may have arrived.
@@ -44,7 +43,6 @@
             connection.timeout = timeout.connect_timeout
             connection.connect()
         connection.sock.settimeout(timeout.read_timeout)
-        path = url.removeprefix(self._base)
         try:
             http.client.HTTPConnection.request(connection, method, path, body, headers)
             answer = http.client.HTTPConnection.getresponse(connection)
@@ -53,7 +51,7 @@
             connection.close()
             raise ProtocolError(f"request broke off: {error}", error) from error
 
-    def clear(self):
+    def close(self):
         """Close the connection."""
         self._connection.close()
 
@@ -61,5 +59,4 @@
 def create_slot_client(address):
     """Return a TargetClient with one connection of its own."""
     host, port = split_address(address)
-    base = f"http://{address}"
-    return TargetClient(base, TargetConnection(HTTPConnection(host, port), base))
+    return TargetClient(address, TargetConnection(HTTPConnection(host, port)))
