--- a/turmericknot/dispatch/agent_messages.py
+++ b/turmericknot/dispatch/agent_messages.py
@@ -144,7 +144,9 @@
 
 def _config_update(state, link, message, now, wall):
     if message.version <= state.config_version:
-        return []
+        # An entry that connected after the version was applied asks this way.
+        applied = messages.ConfigApplied(state.config_version)
+        return [send(link, applied, now)]
     state.config_version = message.version
     state.config_tree = message.tree
     applied = messages.ConfigApplied(message.version)
