--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 bench: install
 	$(BIN)/python -m tools.bench
 
+# Slopes of state, messages and CPU; rewrites the tables of docs/CAPACITY.md.
+capacity: install
+	$(BIN)/python -m tools.capacity
+
 # One file that needs no Python on the host.
 binary: install
 	$(BIN)/python -m tools.build_binary
--- a/tests/dispatch/test_fairshare.py
+++ b/tests/dispatch/test_fairshare.py
@@ -130,5 +130,5 @@
         digest = scheduler.digest(site.state, tick * 0.01)
         if digest is not None:
             told.update(usage.team for usage in digest.teams)
-            sent += 9 * (24 + 16 * len(digest.teams))
-    assert sent / 20.0 <= 3300 and len(told) == 250
+            sent += 9 * (100 + 16 * len(digest.teams))
+    assert sent / 20.0 <= 2750 and len(told) == 250
--- a/turmericknot/dispatch/liveness.py
+++ b/turmericknot/dispatch/liveness.py
@@ -2,7 +2,7 @@
 
 from turmericknot.dispatch.commands import CloseStream
 from turmericknot.dispatch.entry_state import count, send
-from turmericknot.membership import homes, state as membership
+from turmericknot.membership import state as membership
 from turmericknot.wire.messages import Heartbeat
 
 PROBE = Heartbeat(0)
@@ -13,8 +13,7 @@
     agent = state.agents.get(incarnation)
     if agent is None:
         return False
-    entry_ids = state.membership.entry_ids
-    return homes.home_of(agent.hello.agent_id, entry_ids) == state.address.entry_id
+    return membership.is_home(state.membership, agent.hello.agent_id)
 
 
 def agent_connected(state, agent):
--- a/turmericknot/dispatch/usage.py
+++ b/turmericknot/dispatch/usage.py
@@ -8,8 +8,10 @@
 from . import fairshare
 
 BYTES_PER_USAGE = 16.0  # encoded TeamUsage: a name of about 10 bytes and two counts
-FRAME_BYTES = 24.0  # frame, tag, sequence and slots of a digest
-DIGEST_BYTES_PER_S = 3000.0  # a third of the control budget of 9 KB/s per node
+FRAME_BYTES = 100.0  # headers down to Ethernet, tag, sequence and slots
+# With heartbeats and the same amount received it fits 9 KB/s of control per node.
+DIGEST_BYTES_PER_S = 2500.0
+MAX_DIGEST_BYTES = 5000.0  # over all peers; fewer, larger digests save headers
 # Shares matter only while work waits somewhere; at 70% load of the present size the
 # digests of running tasks alone were half a message per task.
 QUIET_FACTOR = 8
@@ -99,13 +101,16 @@
     if not any(_is_contended(team) for _, team in changed):
         if since < interval_s * QUIET_FACTOR:
             return None
-    budget = min(DIGEST_BYTES_PER_S, usage.budget + DIGEST_BYTES_PER_S * since)
+    budget = min(MAX_DIGEST_BYTES, usage.budget + DIGEST_BYTES_PER_S * since)
     if since < interval_s:
         reserved = budget < DIGEST_BYTES_PER_S * URGENT_RESERVE
         if reserved or not any(_is_urgent(*entry) for entry in changed):
             return None
     peers = max(1, len(usage.peers))
-    count = int((budget / peers - FRAME_BYTES) / BYTES_PER_USAGE)
+    count = _room(budget / peers)
+    # A digest of few teams out of many would be mostly headers.
+    if count < min(len(changed), _room(MAX_DIGEST_BYTES / peers) // 2):
+        return None
     if count < 1 or not changed and usage.sequence:
         return None
     changed = nlargest(count, changed, key=itemgetter(0))
@@ -115,6 +120,11 @@
     return TeamDigest(usage.sequence, slots, [_told(team) for _, team in changed])
 
 
+def _room(size):
+    """Return how many teams fit into a digest of that many bytes."""
+    return int((size - FRAME_BYTES) / BYTES_PER_USAGE)
+
+
 def _is_contended(team):
     """Tell whether work of the team waits here or at a peer, or did so lately."""
     return team.waiting or team.told[1] or team.peer_waiting
--- a/turmericknot/membership/state.py
+++ b/turmericknot/membership/state.py
@@ -67,6 +67,9 @@
     peers: dict[int, PeerLiveness] = field(default_factory=dict)
     _by_incarnation: dict[str, AgentLiveness] = field(default_factory=dict)
     _losses: dict[str, deque] = field(default_factory=dict)
+    # Home by agent id; hashing every agent for every peer on each scan would cost
+    # more than the rest of membership.
+    _homes: dict[str, str] = field(default_factory=dict)
     _scanned_at: float = 0.0
 
     @property
@@ -130,6 +133,7 @@
 
 def peer_connected(state, stream, address, now):
     """Add a peer entry."""
+    state._homes.clear()
     state.peers[stream] = PeerLiveness(
         stream, address.entry_id, address.incarnation, now, now
     )
@@ -139,6 +143,7 @@
     """Remove a peer; its agents get time to choose a new home before suspicion."""
     if state.peers.pop(stream, None) is None:
         return
+    state._homes.clear()
     for agent in state.agents.values():
         if not agent.suspect:
             agent.heard_at = max(agent.heard_at, now)
@@ -179,11 +184,11 @@
     if now - state._scanned_at < SCAN_INTERVAL_S:
         return changes
     state._scanned_at = now
-    entry_ids = state.entry_ids
     suspects = []
     for agent in state.agents.values():
         _settle(state, agent, now, changes)
-        if not agent.suspect and _is_home(state, agent, entry_ids):
+        watched = agent.heartbeats_here or is_home(state, agent.agent_id)
+        if watched and not agent.suspect:
             _check_silence(state, agent, now, changes, suspects)
     for peer in state.peers.values():
         _check_peer(state, peer, now, changes)
@@ -202,8 +207,14 @@
     }
 
 
-def _is_home(state, agent, entry_ids):
-    return agent.heartbeats_here or home_of(agent.agent_id, entry_ids) == state.entry_id
+def is_home(state, agent_id):
+    """Return whether this entry is the home of an agent by the peers it knows."""
+    home = state._homes.get(agent_id)
+    if home is None:
+        home = state._homes[agent_id] = home_of(agent_id, state.entry_ids)
+        if len(state._homes) > MAX_REMEMBERED_AGENTS:
+            state._homes.clear()
+    return home == state.entry_id
 
 
 def _check_silence(state, agent, now, changes, suspects):
