Measure busy slots and goodput over the ideal; acknowledge results every 5 s

Change: targets report the run time of ended tasks; goodput around a kill is taken over the ideal's work in the same span; acknowledgements leave every 5 s.

--- a/tests/standins/target.py
+++ b/tests/standins/target.py
@@ -60,6 +60,7 @@
         "leaving",
         "peak",
         "running",
+        "busy_ms",
         "samples",
         "settings",
         "size",
@@ -70,6 +71,7 @@
         self.size = size  # what is announced
         self.changed = threading.Condition()
         self.running = {}
+        self.busy_ms = 0.0  # of ended tasks
         self.starts = Counter()
         self.peak = 0
         self.last_start = 0.0  # wall clock
@@ -139,6 +141,7 @@
                 status, error = execute(target, running, body["lease_s"])
         finally:
             del target.running[running.lease]
+            target.busy_ms += (time.monotonic() - running.started) * 1000
     output = str(body["work"].get("echo", "")).encode() if status == "ok" else b""
     run_ms = (time.monotonic() - running.started) * 1000
     return {
@@ -230,6 +233,7 @@
             "starts": dict(target.starts),
             "started": sum(target.starts.values()),
             "running": len(target.running),
+            "busy_ms": target.busy_ms,
             "peak_running": target.peak,
             "last_start": target.last_start,
         }
--- a/tools/bench/measures.py
+++ b/tools/bench/measures.py
@@ -83,13 +83,35 @@
     return done_ms / 1000.0 / (trace.slots * (end_s - start_s))
 
 
+def goodput_over_ideal(play, start_s, end_s):
+    """Return work that met its deadline over the work that the ideal does then."""
+    ideal_ms = sum(
+        _spread(sum(job.run_ms), job.at_s, job.at_s + ideal_s, start_s, end_s)
+        for job, ideal_s in zip(play.trace.jobs, play.ideal, strict=True)
+    )
+    done = goodput(play.trace, play.outcomes, start_s, end_s)
+    return done * play.trace.slots * (end_s - start_s) * 1000.0 / ideal_ms
+
+
+def busy_ms(fed):
+    """Return the run time of all ended tasks, summed over the targets."""
+    total = 0.0
+    for url in fed.target_urls.values():
+        total += fed.call("GET", f"{url}/control/starts")[1]["busy_ms"]
+    return total
+
+
 def _work_within(job, outcome, start_s, end_s):
     """Return the job's work in a span, spread evenly over its response time."""
-    begin, end = job.at_s, outcome.finished_at_s
+    work = sum(outcome.run_ms)
+    return _spread(work, job.at_s, outcome.finished_at_s, start_s, end_s)
+
+
+def _spread(work, begin, end, start_s, end_s):
     overlap = min(end, end_s) - max(begin, start_s)
     if overlap <= 0 or end <= begin:
         return 0.0
-    return sum(outcome.run_ms) * overlap / (end - begin)
+    return work * overlap / (end - begin)
 
 
 def served_per_second(trace, outcomes, ideal, team):
--- a/turmericknot/dispatch/entry.py
+++ b/turmericknot/dispatch/entry.py
@@ -23,6 +23,8 @@
 from turmericknot.membership.state import create_membership_state
 
 HOUSEKEEPING_S = 1.0
+# Agents keep results for a minute in any case, so this costs no memory there.
+ACKNOWLEDGE_S = 5.0
 # Reads that end within this time measure the clock of the log service well enough.
 QUICK_READ_S = 0.5
 # Other entries and the log get this long past the deadline to say what they know.
@@ -111,7 +113,9 @@
 
 
 def _housekeeping(state):
-    answers.flush_acknowledgements(state)
+    if state.now >= state.acknowledge_due:
+        state.acknowledge_due = state.now + ACKNOWLEDGE_S
+        answers.flush_acknowledgements(state)
     settings = state.settings.claims
     keep_s = settings.max_key_lifetime_s + settings.roster_ttl_s
     claims.drop_expired(state.table, state.wall, keep_s + settings.max_clock_skew_s)
--- a/turmericknot/dispatch/entry_state.py
+++ b/turmericknot/dispatch/entry_state.py
@@ -177,6 +177,7 @@
     drained: bool = False
     retired: bool = False
     housekeeping_due: float = 0.0
+    acknowledge_due: float = 0.0
     counters: dict[str, int] = field(default_factory=dict)
 
     @property
