Take the deadline and idempotence that a job leaves out from the configuration

Cause: classes.*.deadline_s, classes.*.idempotent and a team's deadline_s had no effect, and a team's own table dropped every key of the same table in the defaults. Change: the HTTP interface reads them, and tables of defaults merge key by key. A job without any deadline is refused with 400 as before.

--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -41,6 +41,16 @@
         self._requests.respond_all(self.answer)
 
 
+class FakeConfig:
+    """A configuration in force."""
+
+    def __init__(self):
+        self.tree = {
+            "defaults": {"classes": {"check": {"idempotent": True}}},
+            "teams": {"buyers": {"deadline_s": 7.0, "classes": {"lot": {}}}},
+        }
+
+
 class Client:
     def __init__(self, url, dispatcher):
         self.url, self.dispatcher = url, dispatcher
@@ -58,6 +68,7 @@
     kernel = Kernel()
     requests = kernel.register("requests", create_requests_service(kernel, None))
     dispatcher = kernel.register("dispatcher", FakeDispatcher(requests))
+    kernel.register("config", FakeConfig())
     (address,) = free_addresses(1)
     settings = EntrySettings(
         "e1", "fd1", "r1", address, http_threads=THREADS, max_body_bytes=100_000
@@ -94,6 +105,24 @@
     assert first == repeated != changed
 
 
+def test_what_a_job_leaves_out_comes_from_the_configuration(client):
+    """Guards against defaults of classes and teams that nothing reads."""
+    body = job("k", team="buyers", task_class="check")
+    del body["deadline_s"]
+    client("POST", "/v1/jobs", body)
+    client("POST", "/v1/jobs", {**body, "task_class": "lot", "idempotent": False})
+    checked, lot = (event.spec for event in client.dispatcher.events)
+    assert (checked.deadline_s, checked.idempotent) == (7.0, True)
+    assert (lot.deadline_s, lot.idempotent) == (7.0, False)
+
+
+def test_job_without_any_deadline_is_refused(client):
+    body = job("k")
+    del body["deadline_s"]
+    status, data = client("POST", "/v1/jobs", body)
+    assert status == 400 and b"$.deadline_s" in data
+
+
 @pytest.mark.parametrize(
     ("body", "status", "error"),
     [
--- a/turmericknot/configtree/tree.py
+++ b/turmericknot/configtree/tree.py
@@ -210,3 +210,14 @@
     problems = check_subtree(subtree, name, strict=False)
     if problems:
         raise InvalidRecord("; ".join(str(problem) for problem in problems))
+
+
+def with_defaults(tree, team):
+    """Return a team's settings over the defaults; tables are merged key by key."""
+    merged = dict(tree.get("defaults", {}))
+    for key, value in tree.get("teams", {}).get(team, {}).items():
+        default = merged.get(key)
+        if isinstance(value, dict) and isinstance(default, dict):
+            value = {**default, **value}
+        merged[key] = value
+    return merged
--- a/turmericknot/dispatch/scheduler.py
+++ b/turmericknot/dispatch/scheduler.py
@@ -6,6 +6,7 @@
 
 from heapq import heappop, heappush
 
+from turmericknot.configtree.tree import with_defaults
 from turmericknot.wire.messages import TaskSpec, TaskStatus
 
 from . import (
@@ -38,10 +39,9 @@
 def config_changed(state, version, tree, now):
     """Put a configuration in force."""
     state.config_version = version
-    defaults = tree.get("defaults", {})
     listed = tree.get("teams", {})
-    for name, subtree in listed.items():
-        teams.configure(_team(state, name), {**defaults, **subtree})
+    for name in listed:
+        teams.configure(_team(state, name), with_defaults(tree, name))
     for name, team in state.teams.items():
         team.listed = name in listed
     state.shares_at = float("-inf")
--- a/turmericknot/entry/api.py
+++ b/turmericknot/entry/api.py
@@ -70,8 +70,8 @@
     def submit(self, environ, kind):
         """Accept a job and answer when it ends or the caller stops waiting."""
         body = read_body(environ, kind)
-        spec = job_of(body)
-        wait_s = body.deadline_s + ANSWER_MARGIN_S
+        spec = job_of(body, self._kernel.get("config").tree)
+        wait_s = spec.deadline_s + ANSWER_MARGIN_S
         if body.wait_s is not None:
             wait_s = body.wait_s
         if not body.wait:
--- a/turmericknot/entry/bodies.py
+++ b/turmericknot/entry/bodies.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from turmericknot.configtree.tree import with_defaults
+from turmericknot.core.http_server import HttpError
 from turmericknot.core.ids import job_id
 from turmericknot.dispatch.tasks import JobSpec, JobStatus, Reason, Task
 
@@ -37,9 +39,9 @@
     team: Name
     key: Name
     expires_at: float
-    deadline_s: Deadline
+    deadline_s: Deadline | None = None
     task_class: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)] = "default"
-    idempotent: bool = False
+    idempotent: bool | None = None
     priority: int = 0
     wait: bool = True
     wait_s: Amount | None = None
@@ -99,17 +101,32 @@
 _STATUSES_WITH_REASON = frozenset({JobStatus.NOT_RUN, JobStatus.PENDING})
 
 
-def job_of(body):
-    """Return the JobSpec of a JobBody or OneTaskBody."""
+def job_of(body, tree):
+    """Return the JobSpec of a JobBody or OneTaskBody.
+
+    What the body leaves out comes from the class, the team or the defaults of the
+    configuration ``tree``; raise HttpError when there is no deadline anywhere.
+    """
+    settings = with_defaults(tree, body.team)
+    of_class = settings.get("classes", {}).get(body.task_class, {})
+    deadline_s = body.deadline_s or of_class.get("deadline_s")
+    deadline_s = deadline_s or settings.get("deadline_s")
+    if deadline_s is None:
+        raise HttpError(
+            400, "malformed_json", "$.deadline_s is missing and has no default"
+        )
+    idempotent = body.idempotent
+    if idempotent is None:
+        idempotent = of_class.get("idempotent", False)
     tasks = getattr(body, "tasks", None) or [body]
     return JobSpec(
         job=job_id(body.team, body.key, body.expires_at),
         team=body.team,
         key=body.key,
         expires_at=body.expires_at,
-        deadline_s=body.deadline_s,
+        deadline_s=min(deadline_s, MAX_DEADLINE_S),
         task_class=body.task_class,
-        idempotent=body.idempotent,
+        idempotent=idempotent,
         tasks=[_task_of(index, task) for index, task in enumerate(tasks)],
         priority=body.priority,
         digest=_digest(body, tasks),
--- a/turmericknot/entry/config.py
+++ b/turmericknot/entry/config.py
@@ -57,6 +57,11 @@
         """Return the version in force; 0 while there is none."""
         return self._state.version
 
+    @property
+    def tree(self):
+        """Return the tree in force; empty while there is none."""
+        return self._state.merge.tree
+
     def start(self):
         """Follow the stream of configuration records."""
         client = self._kernel.get("log").client
