--- a/tests/load/test_trace.py
+++ b/tests/load/test_trace.py
@@ -43,3 +43,10 @@
     path.write_text('streams = [{team = "t", task_class = "c", jobs_per_sec = 1}]')
     with pytest.raises(ConfigurationError, match="load.toml.*jobs_per_sec"):
         workload.load_workload(path)
+
+
+@pytest.mark.parametrize("name", ["tsagaan", "arrieta"])
+def test_example_workloads_load(name):
+    """Guards against examples that the tool no longer reads."""
+    described = workload.load_workload(f"examples/workloads/{name}.toml")
+    assert trace.generate(described, "x").jobs
