--- a/turmericknot/load/player.py
+++ b/turmericknot/load/player.py
@@ -63,9 +63,9 @@
             due = started_at + job.at_s
             while (wait_s := due - time.monotonic()) > 0:
                 time.sleep(min(wait_s, 0.2))
-                if on_second and time.monotonic() - started_at >= next_second:
-                    on_second(next_second)
-                    next_second += 1.0
+            if on_second and time.monotonic() - started_at >= next_second:
+                on_second(next_second)
+                next_second += 1.0
             executor.submit(_play_job, pool, entries, job, outcomes[number], started_at)
     return outcomes
 
