--- a/tools/capacity/model.py
+++ b/tools/capacity/model.py
@@ -96,7 +96,7 @@
     starts = STARTS_PER_S / AGENTS
     heartbeat = slopes["heartbeat_bytes"] + FRAME_OVERHEAD_BYTES
     per_entry = _difference(slopes, "agent_idle_share", "more_entries", 3)
-    rss_per_entry = max(0.0, _difference(slopes, "agent_rss_mb", "more_entries", 3))
+    rss_per_entry = _difference(slopes, "agent_rss_mb", "more_entries", 3)
     return Role(
         {
             "ids and results of ten minutes": starts
@@ -168,8 +168,9 @@
 
 
 def _difference(slopes, name, more, by):
-    return (slopes[f"{name}_{more}"] - slopes[f"{name}_small"]) / by
+    """Return a slope; one below the resolution of the measurement counts as zero."""
+    return max(0.0, (slopes[f"{name}_{more}"] - slopes[f"{name}_small"]) / by)
 
 
 def _rss_per_agent(slopes):
-    return max(0.0, _difference(slopes, "entry_rss_mb", "more_agents", 10))
+    return _difference(slopes, "entry_rss_mb", "more_agents", 10)
