--- a/turmericknot/dispatch/liveness.py
+++ b/turmericknot/dispatch/liveness.py
@@ -81,9 +81,7 @@
         state.policy.set_suspect(state.scheduler, stream, True, state.now)
     for stream in changes.usable:
         state.policy.set_suspect(state.scheduler, stream, False, state.now)
-    for stream in changes.probe:
-        send(state, stream, PROBE)
-    for stream in changes.greet_peers:
+    for stream in changes.probe + changes.greet_peers:
         send(state, stream, PROBE)
     for stream in changes.lost_peers:
         state.commands.append(CloseStream(stream, "peer is silent"))
