--- a/tests/agent/test_connection.py
+++ b/tests/agent/test_connection.py
@@ -10,7 +10,7 @@
 from turmericknot.agent.connection import create_slot_client
 from turmericknot.agent.runners import as_json
 from turmericknot.core.exceptions import TargetLost, TargetRefused
-from turmericknot.platform.target_client import RunRequest
+from turmericknot.clients.target_client import RunRequest
 
 OK = b'{"status":"ok","output":"%s"}'
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
--- a/tests/platform/conftest.py
+++ b/tests/clients/conftest.py
@@ -2,7 +2,7 @@
 
 from tests.standins.fixtures import log, log_service  # noqa: F401
 from tests.standins.processes import running_target
-from turmericknot.platform.target_client import create_target_client
+from turmericknot.clients.target_client import create_target_client
 
 
 @pytest.fixture
--- a/tests/platform/test_log_client.py
+++ b/tests/clients/test_log_client.py
@@ -9,7 +9,7 @@
     LogUnavailable,
     RecordsTrimmed,
 )
-from turmericknot.platform.log_client import create_log_client
+from turmericknot.clients.log_client import create_log_client
 
 
 def test_offsets_grow_by_one_and_pages_tell_what_is_missing(log):
--- a/tests/platform/test_target_client.py
+++ b/tests/clients/test_target_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from turmericknot.core.exceptions import TargetError, TargetLost, TargetRefused
-from turmericknot.platform.target_client import RunRequest, create_target_client
+from turmericknot.clients.target_client import RunRequest, create_target_client
 
 JOB = b"j" * 16
 
--- a/tests/configtree/test_follower.py
+++ b/tests/configtree/test_follower.py
@@ -14,7 +14,7 @@
     take_change,
 )
 from turmericknot.configtree.records import Change, Snapshot, decode, encode
-from turmericknot.platform.log_client import LogPage, LogRecord
+from turmericknot.clients.log_client import LogPage, LogRecord
 
 
 @pytest.fixture
--- a/tests/configtree/test_merge_machine.py
+++ b/tests/configtree/test_merge_machine.py
@@ -28,7 +28,7 @@
     encode,
     touched,
 )
-from turmericknot.platform.log_client import LogPage, LogRecord
+from turmericknot.clients.log_client import LogPage, LogRecord
 
 TEAMS = ("a", "b")
 PROCESSES = 4
--- a/tests/entry/test_log.py
+++ b/tests/entry/test_log.py
@@ -7,7 +7,7 @@
 from turmericknot.core.exceptions import RecordsTrimmed
 from turmericknot.dispatch import events
 from turmericknot.entry.log import Tail, read_once
-from turmericknot.platform.log_client import LogPage, LogRecord
+from turmericknot.clients.log_client import LogPage, LogRecord
 
 
 class FakeClient:
--- a/tests/standins/fixtures.py
+++ b/tests/standins/fixtures.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.standins.processes import running_log_service
-from turmericknot.platform.log_client import create_log_client
+from turmericknot.clients.log_client import create_log_client
 
 
 @pytest.fixture
--- a/turmericknot/agent/connection.py
+++ b/turmericknot/agent/connection.py
@@ -11,8 +11,8 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ProtocolError
 
+from turmericknot.clients.target_client import TargetClient
 from turmericknot.core.addresses import split_address
-from turmericknot.platform.target_client import TargetClient
 
 
 @dataclass(slots=True)
--- a/turmericknot/agent/runners.py
+++ b/turmericknot/agent/runners.py
@@ -5,9 +5,9 @@
 import msgspec
 import pykka
 
+from turmericknot.clients.target_client import RunRequest, create_target_client
 from turmericknot.core.exceptions import TargetError, TargetLost, TargetRefused
 from turmericknot.dispatch import events
-from turmericknot.platform.target_client import RunRequest, create_target_client
 from turmericknot.utils.logging import get_logger
 from turmericknot.wire.messages import TaskStatus
 
--- /dev/null
+++ b/turmericknot/aio/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 for roles that run on one asyncio loop."""
--- /dev/null
+++ b/turmericknot/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's log service and of targets."""
--- a/turmericknot/configtree/publish.py
+++ b/turmericknot/configtree/publish.py
@@ -7,13 +7,13 @@
 import msgspec
 import urllib3
 
+from turmericknot.clients.log_client import MAX_RECORDS
 from turmericknot.core.exceptions import (
     AppendNotWritten,
     AppendOutcomeUnknown,
     LogUnavailable,
     RecordsTrimmed,
 )
-from turmericknot.platform.log_client import MAX_RECORDS
 
 from .diff import MISSING, diff_values
 from .follower import FollowerState, offset_trimmed, page_read
--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -95,3 +95,64 @@
 
 class DispatcherFailed(ServiceError):
     """The decision logic raised an exception; its state cannot be trusted."""
+
+
+class CallError(TurmericknotError):
+    """Base class of failures of a call to another process."""
+
+
+class CallNotSent(CallError):
+    """The peer has certainly not received the call."""
+
+
+class CallAnswerLost(CallError):
+    """The peer may have received and executed the call."""
+
+
+class StoreError(TurmericknotError):
+    """Base class of failures of the store that keeps the jobs."""
+
+
+class StoreUnavailable(StoreError):
+    """No usable answer: the call may have been executed."""
+
+
+class StoreRejected(StoreUnavailable):
+    """The store has certainly not executed the call."""
+
+
+class StoreFenced(StoreError):
+    """Another process writes to the shard with a later epoch."""
+
+
+class StoreSequenceExpected(StoreError):
+    """The sequence number of an append does not follow the last one."""
+
+    def __init__(self, expected):
+        super().__init__(f"the store expects sequence {expected}")
+        self.expected = expected
+
+
+class MessageError(TurmericknotError):
+    """A message from outside cannot be decoded into a type of the product."""
+
+
+class UnsupportedJob(MessageError):
+    """A job asks for something that is not served."""
+
+
+class WorkerError(TurmericknotError):
+    """Base class of failures of an order to a worker."""
+
+
+class WorkerUnavailable(WorkerError):
+    """No usable answer: the worker may have carried out the order."""
+
+
+class WorkerRefused(WorkerError):
+    """The worker did not carry out the order; ``clock_ms`` is its clock or 0."""
+
+    def __init__(self, reason, clock_ms=0):
+        super().__init__(f"worker refused: {reason}")
+        self.reason = reason
+        self.clock_ms = clock_ms
--- a/turmericknot/core/ids.py
+++ b/turmericknot/core/ids.py
@@ -1,6 +1,7 @@
 """Identifiers of jobs, owners and log records."""
 
 import hashlib
+import zlib
 
 JOB_ID_BYTES = 16
 INCARNATION_BYTES = 8
@@ -29,3 +30,8 @@
 def record_id(rng):
     """Return the id by which the writer of a log record finds it again."""
     return rng.randbytes(RECORD_ID_BYTES)
+
+
+def shard_of(job, shard_count):
+    """Return the shard of a job id given as text."""
+    return zlib.crc32(job.encode()) % shard_count
--- a/turmericknot/entry/log.py
+++ b/turmericknot/entry/log.py
@@ -6,6 +6,7 @@
 
 import pykka
 
+from turmericknot.clients.log_client import MAX_RECORDS, create_log_client
 from turmericknot.core.exceptions import (
     AppendNotWritten,
     AppendOutcomeUnknown,
@@ -13,7 +14,6 @@
     RecordsTrimmed,
 )
 from turmericknot.dispatch import events
-from turmericknot.platform.log_client import MAX_RECORDS, create_log_client
 from turmericknot.utils.backoff import jittered_delays
 from turmericknot.utils.logging import get_logger
 
--- a/turmericknot/management/commands/config.py
+++ b/turmericknot/management/commands/config.py
@@ -8,6 +8,7 @@
 
 import tomli_w
 
+from turmericknot.clients.log_client import create_log_client
 from turmericknot.configtree.files import (
     find_edit,
     load_base,
@@ -34,7 +35,6 @@
 )
 from turmericknot.core.exceptions import TurmericknotError
 from turmericknot.core.ids import record_id
-from turmericknot.platform.log_client import create_log_client
 
 # Exit codes.
 OK = 0
--- a/turmericknot/management/commands/roles.py
+++ b/turmericknot/management/commands/roles.py
@@ -3,10 +3,10 @@
 import importlib
 
 from turmericknot import checks
+from turmericknot.clients.log_client import create_log_client
 from turmericknot.conf.rules import LOG_LEVELS
 from turmericknot.core.exceptions import ConfigurationError, UsageError
 from turmericknot.management.registry import register
-from turmericknot.platform.log_client import create_log_client
 from turmericknot.utils import logging, metrics
 
 # An entry starts while the log service is down: it serves peers' configuration and
--- /dev/null
+++ b/turmericknot/node/agent.py
@@ -0,0 +1,385 @@
+"""The agent: reports and orders of the worker beside it, and links to entries."""
+
+import asyncio
+import contextlib
+import random
+import signal
+
+from turmericknot.aio.client import create_http_client
+from turmericknot.aio.server import Response, create_http_server
+from turmericknot.core.exceptions import (
+    MessageError,
+    RecordsTrimmed,
+    StoreError,
+    WorkerRefused,
+    WorkerUnavailable,
+)
+from turmericknot.core.ids import incarnation
+from turmericknot.platform.store import ENTRIES_TOPIC, create_store
+from turmericknot.platform.workers import (
+    WorkerCalls,
+    decode_report,
+    reporting_worker,
+)
+from turmericknot.scheduling import worker_runs as decisions
+from turmericknot.scheduling.owner import OwnerTimes
+from turmericknot.scheduling.worker_runs import (
+    LogRun,
+    SendToOwner,
+    StartCall,
+    create_worker_runs,
+)
+from turmericknot.utils.logging import get_logger
+from turmericknot.wire import shard_messages as wire
+from turmericknot.wire.links import LinkCallbacks, create_links
+from turmericknot.wire.messages import PROTOCOL_VERSION
+
+from .clock import steady_time
+from .constants import REDIAL_LIMIT_S, SHARD_COUNT
+from .tasks import start_task
+
+GRANT_INTERVAL_S = 0.25
+ROOM_REPORT_INTERVAL_S = 0.05
+# An entry that has not answered a grant request for this long is dialled anew.
+SILENT_S = 1.3
+HOLD_WAIT_S = 0.25  # a lease of 1 s survives two lost renewals
+HOLD_RETRY_S = 0.1
+RETRY_S = 0.3
+WATCH_S = 8.0
+EXIT_MARGIN_S = 1.2  # before the platform would kill the process
+
+
+class EntryLink:
+    """The stream to one entry and its grant requests."""
+
+    __slots__ = ("name", "stream", "sent", "answered_at", "sequence", "room")
+
+    def __init__(self, name):
+        self.name = name
+        self.stream = None
+        self.sent = {}  # sequence -> time
+        self.answered_at = 0.0
+        self.sequence = 0
+        self.room = None  # what was last reported of the use by others
+
+
+class AgentNode:
+    """One agent; all of it runs in one event loop."""
+
+    __slots__ = (
+        "_settings",
+        "_log",
+        "_boot",
+        "_runs",
+        "_links",
+        "_entries",
+        "_by_stream",
+        "_store",
+        "_worker",
+        "_ended",
+        "_failed",
+        "_orders",
+        "_look",
+    )
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._log = get_logger()
+        self._boot = incarnation("", random.SystemRandom()).strip("#")
+        self._runs = create_worker_runs(
+            SHARD_COUNT, OwnerTimes().grant, settings.bounds.lease_ms / 1000
+        )
+        callbacks = LinkCallbacks(
+            self._opened, self._received, self._closed, lambda key, refused: None
+        )
+        self._links = create_links(callbacks, redial_limit_s=REDIAL_LIMIT_S)
+        self._entries = {}  # address -> EntryLink
+        self._by_stream = {}  # stream -> address
+        self._store = create_store(settings.store.address, settings.store.partitions)
+        self._worker = WorkerCalls(create_http_client(settings.worker_address))
+        self._ended = asyncio.Event()
+        self._failed = ""
+        self._orders = set()  # calls to the worker under way
+        self._look = asyncio.Event()
+
+    def failed(self, name):
+        """End the process: one of its tasks has failed."""
+        self._failed = name
+        self._ended.set()
+
+    async def run(self):
+        """Serve until SIGTERM; return the exit code."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._ended.set)
+        loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        await self._links.attach()
+        server = create_http_server(self._handle_report)
+        await server.start(self._settings.reports_address)
+        self._log.info("agent.started", boot=self._boot)
+        start_task(self._hold(), "hold", self.failed)
+        start_task(self._find_entries(), "entries", self.failed)
+        start_task(self._request_grants(), "grants", self.failed)
+        start_task(self._report_room(), "room", self.failed)
+        await self._ended.wait()
+        if self._failed:
+            return 1
+        await self._drain()
+        return 0
+
+    async def _drain(self):
+        """Start nothing new and leave when the runs have ended."""
+        self._log.info("agent.stopping", runs=len(self._runs.runs))
+        self._runs.is_leaving = True
+        self._tell_worker()
+        end = steady_time() + self._settings.bounds.stop_grace_s - EXIT_MARGIN_S
+        while self._runs.runs and steady_time() < end:
+            await asyncio.sleep(0.05)
+        self._log.info("agent.stopped", runs=len(self._runs.runs))
+
+    async def _handle_report(self, request):
+        """Take a report of the worker, or its leave."""
+        worker_id = reporting_worker(request.path)
+        if not worker_id:
+            return Response(404)
+        now = steady_time()
+        if request.method == "DELETE":
+            if decisions.worker_left(self._runs, worker_id, now):
+                self._tell_worker()
+                self._carry_out()
+            return Response(200)
+        if request.method != "PUT":
+            return Response(405)
+        try:
+            life = decode_report(worker_id, request.body, now)
+            if life.service != self._settings.service:
+                raise MessageError(f"report of {worker_id}: other service")
+        except MessageError as error:
+            self._log.warning("report.refused", reason=str(error))
+            return Response(400)
+        if decisions.worker_reported(self._runs, life, now):
+            self._tell_worker()
+        self._carry_out()
+        return Response(200, b"{}")
+
+    def _tell_worker(self):
+        message = wire.WorkerChanged(decisions.worker_report(self._runs))
+        for link in self._entries.values():
+            if link.stream is not None:
+                self._links.send(link.stream, message)
+        self._links.flush()
+
+    def _carry_out(self):
+        runs = self._runs
+        while runs.commands:
+            for command in runs.take_commands():
+                if isinstance(command, SendToOwner):
+                    self._links.send(command.stream, command.message)
+                elif isinstance(command, LogRun):
+                    self._log.info(command.event, **command.fields)
+                else:
+                    self._order(command)
+        self._links.flush()
+
+    def _order(self, call):
+        perform = self._start if isinstance(call, StartCall) else self._stop
+        task = start_task(perform(call), "order", self.failed)
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _start(self, call):
+        try:
+            await self._worker.start(call)
+        except WorkerRefused as error:
+            self._log.info("start.refused", job=call.name.job, reason=error.reason)
+            if error.reason == "fence" and call.fence >= self._runs.fence:
+                decisions.bump_fence(self._runs, steady_time())
+            decisions.start_refused(self._runs, call.name, error.reason)
+        except WorkerUnavailable as error:
+            self._log.warning("start.unanswered", job=call.name.job, reason=str(error))
+            decisions.start_unanswered(self._runs, call.name, steady_time())
+            self._look.set()
+        else:
+            decisions.start_confirmed(self._runs, call.name, steady_time())
+        self._carry_out()
+
+    async def _stop(self, call):
+        try:
+            await self._worker.stop(call)
+        except (WorkerRefused, WorkerUnavailable) as error:
+            # The owner repeats the order until the end is reported.
+            self._log.warning("stop.failed", job=call.name.job, reason=str(error))
+
+    async def _hold(self):
+        """Keep the lease and learn of ends, as long as there is a worker."""
+        while True:
+            now = steady_time()
+            call = decisions.next_hold(self._runs, now)
+            self._carry_out()
+            if call is None:
+                await asyncio.sleep(HOLD_RETRY_S)
+                continue
+            wait_s = 0.0 if self._look.is_set() else HOLD_WAIT_S
+            if not self._runs.is_synced:
+                wait_s = 0.0
+            self._look.clear()
+            try:
+                result = await self._worker.hold(call, wait_s)
+            except WorkerRefused as error:
+                self._log.warning("hold.refused", reason=error.reason)
+                if error.reason == "fence":
+                    decisions.bump_fence(self._runs, steady_time())
+                await asyncio.sleep(HOLD_RETRY_S)
+                continue
+            except WorkerUnavailable as error:
+                self._log.warning("hold.unanswered", reason=str(error))
+                await asyncio.sleep(HOLD_RETRY_S)
+                continue
+            was_synced = self._runs.is_synced
+            decisions.held(self._runs, call, result, steady_time())
+            if not was_synced and self._runs.is_synced:
+                self._tell_worker()
+            self._carry_out()
+
+    async def _find_entries(self):
+        """Follow in the store where entries listen."""
+        offset = None
+        is_reachable = True
+        while True:
+            try:
+                if offset is None:
+                    offset, records = await self._store.newest(ENTRIES_TOPIC, 0)
+                else:
+                    page = await self._store.watch(ENTRIES_TOPIC, 0, offset, WATCH_S)
+                    offset, records = page.next_offset, page.records
+            except RecordsTrimmed:
+                offset = None
+                continue
+            except StoreError as error:
+                if is_reachable:
+                    is_reachable = False
+                    self._log.warning("store.lost", use="entries", reason=str(error))
+                await asyncio.sleep(RETRY_S)
+                continue
+            if not is_reachable:
+                is_reachable = True
+                self._log.info("store.regained", use="entries")
+            for record in records:
+                self._follow(record.key, record.value.decode())
+
+    def _follow(self, name, address):
+        """Dial an entry; a name that has moved leaves its former address."""
+        for known, link in list(self._entries.items()):
+            if link.name == name and known != address:
+                self._links.hang_up(known)
+                del self._entries[known]
+        if address and address not in self._entries:
+            self._entries[address] = EntryLink(name)
+            self._links.dial(address, address, self._hello)
+
+    def _hello(self):
+        return wire.AgentHello(
+            PROTOCOL_VERSION,
+            self._settings.node,
+            self._boot,
+            self._settings.failure_domain,
+            decisions.worker_report(self._runs),
+        )
+
+    def _opened(self, stream, first, key):
+        link = self._entries.get(key)
+        if link is None:
+            self._links.drop(stream, "not followed")
+            return
+        link.stream = stream
+        link.room = None
+        link.sent.clear()
+        link.answered_at = steady_time()
+        self._by_stream[stream] = key
+        self._log.info("entry.connected", entry=key)
+        self._received(stream, [first])
+        # The worker may have changed while the greeting was under way.
+        report = decisions.worker_report(self._runs)
+        self._links.send(stream, wire.WorkerChanged(report))
+        self._request_grant(link, steady_time())
+        self._links.flush()
+
+    def _closed(self, stream, reason):
+        link = self._entries.get(self._by_stream.pop(stream, None))
+        if link is not None and link.stream == stream:
+            link.stream = None
+        decisions.stream_closed(self._runs, stream)
+        self._log.info("entry.disconnected", reason=reason)
+
+    def _received(self, stream, messages):
+        link = self._entries.get(self._by_stream.get(stream))
+        if link is None or link.stream != stream:
+            return
+        now = steady_time()
+        for message in messages:
+            self._from_entry(stream, link, message, now)
+        self._carry_out()
+
+    def _from_entry(self, stream, link, message, now):
+        runs = self._runs
+        match message:
+            case wire.Grant():
+                sent_at = link.sent.pop(message.sequence, None)
+                if sent_at is not None:
+                    link.answered_at = now
+                elif message.shards:
+                    self._request_grant(link, now)
+                decisions.granted(runs, stream, message, sent_at, now)
+            case wire.StartRuns():
+                if decisions.start_runs(runs, stream, message, now):
+                    link.room = None  # report it at once
+            case wire.StopRuns():
+                decisions.stop_runs(runs, stream, message, now)
+            case wire.NoteEnds():
+                decisions.note_ends(runs, message.life, message.numbers)
+
+    def _request_grant(self, link, now):
+        link.sequence += 1
+        link.sent[link.sequence] = now
+        self._links.send(link.stream, wire.GrantRequest(link.sequence))
+
+    async def _request_grants(self):
+        while True:
+            await asyncio.sleep(GRANT_INTERVAL_S)
+            now = steady_time()
+            for address, link in self._entries.items():
+                if link.stream is None:
+                    continue
+                if now - link.answered_at > SILENT_S:
+                    self._log.warning("entry.silent", entry=address)
+                    stream, link.stream = link.stream, None
+                    decisions.stream_closed(self._runs, stream)
+                    self._links.drop(stream, "silent")
+                    continue
+                self._request_grant(link, now)
+            decisions.check_grants(self._runs, now)
+            self._carry_out()
+
+    async def _report_room(self):
+        """Tell each entry what the runs of the others use, when that changes."""
+        while True:
+            await asyncio.sleep(ROOM_REPORT_INTERVAL_S)
+            for link in self._entries.values():
+                if link.stream is None:
+                    continue
+                room = decisions.foreign_use(self._runs, link.stream)
+                if room != link.room:
+                    link.room = room
+                    self._links.send(link.stream, wire.RoomReport(*room))
+            self._links.flush()
+
+
+def run_agent(settings):
+    """Run an agent until it is stopped; return its exit code."""
+
+    async def main():
+        return await AgentNode(settings).run()
+
+    with contextlib.suppress(KeyboardInterrupt):
+        return asyncio.run(main())
+    return 0
--- /dev/null
+++ b/turmericknot/scheduling/besteffort.py
@@ -0,0 +1,126 @@
+"""Jobs that are not stored: their caller waits for the end, then hands them in again.
+
+The entry that the caller reached owns the job, in a shard of its own. A job that is
+handed in again may reach another entry, so all runs of the first one must be over by
+then: they end when the caller leaves, when its time is over, and when the grants of
+an entry that has died run out.
+"""
+
+from . import admission
+from .commands import Outcome
+from .jobs import JobState, TaskStatus, create_job
+from .owner import (
+    Shard,
+    answer,
+    finish_job,
+    job_refusal,
+    log,
+    release_steps,
+)
+
+# Numbers from here on name the shards of entries for jobs that are not stored.
+FIRST_UNKEPT_SHARD = 1 << 20
+# Runs are stopped this long before the caller's time is over, so that they have
+# ended when the job is handed in again elsewhere.
+STOP_BEFORE_DEADLINE_S = 0.05
+
+
+def open_unkept_shard(owner, number):
+    """Let the entry own jobs that are not stored, under a number of its own."""
+    shard = Shard(FIRST_UNKEPT_SHARD + number, epoch=1, is_kept=False)
+    owner.shards[shard.number] = shard
+    return shard
+
+
+def run_job(owner, shard, job_id, record, waiter, deadline_at, now):
+    """Run a job whose caller waits until ``deadline_at``, or refuse it."""
+    former = shard.jobs.get(job_id)
+    if former is not None:
+        if former.state is JobState.ACTIVE:
+            former.waiters.append(waiter)
+            former.deadline_at = max(former.deadline_at, deadline_at)
+        else:
+            _replace_successor(owner, former, (record, waiter, deadline_at))
+        return
+    refusal = job_refusal(owner, record)
+    if refusal is not None:
+        outcome, delay, reason = refusal
+        owner.count("refused_" + reason)
+        log(
+            owner,
+            "job.refused",
+            job=job_id,
+            queue=record.queue,
+            reason=reason,
+            retry_after=round(delay, 1),
+        )
+        answer(owner, waiter, outcome, delay, reason)
+        return
+    _begin(owner, shard, job_id, record, waiter, deadline_at, now)
+
+
+def _begin(owner, shard, job_id, record, waiter, deadline_at, now):
+    job = create_job(job_id, shard.number, record, now)
+    job.is_stored = True  # nothing has to be waited for
+    job.shown = JobState.ACTIVE
+    job.due_at = now + admission.objective_s(owner.run_times, record)
+    job.deadline_at = deadline_at
+    job.waiters.append(waiter)
+    shard.jobs[job_id] = job
+    owner.count("accepted")
+    log(owner, "job.accepted", job=job_id, queue=record.queue, shard=shard.number)
+    release_steps(owner, job)
+
+
+def _replace_successor(owner, job, successor):
+    if job.successor is not None:
+        answer(owner, job.successor[1], Outcome.UNDECIDED, reason="handed in again")
+    job.successor = successor
+
+
+def abandon(owner, shard, job_id, waiter, now):
+    """Stop a job whose caller has left."""
+    job = shard.jobs.get(job_id)
+    if job is None:
+        return
+    if job.successor is not None and job.successor[1] is waiter:
+        job.successor = None
+    if waiter not in job.waiters:
+        return
+    job.waiters.remove(waiter)
+    if not job.waiters and job.state is JobState.ACTIVE:
+        finish_job(owner, job, JobState.CANCELLED, now)
+        clear_up(owner, job, now)
+
+
+def clear_up(owner, job, now):
+    """Forget an ended job without runs, and begin with its successor."""
+    shard = owner.shards.get(job.shard)
+    if shard is None or shard.is_kept or job.state is JobState.ACTIVE:
+        return
+    if any(task.status is TaskStatus.RUNNING for step in job.tasks for task in step):
+        return
+    if shard.jobs.get(job.id) is not job:
+        return
+    del shard.jobs[job.id]
+    if job.successor is not None:
+        record, waiter, deadline_at = job.successor
+        run_job(owner, shard, job.id, record, waiter, deadline_at, now)
+
+
+def end_overdue(owner, now):
+    """Stop jobs whose callers have given up by now."""
+    for shard in owner.shards.values():
+        if shard.is_kept:
+            continue
+        for job in list(shard.jobs.values()):
+            if job.state is not JobState.ACTIVE:
+                continue
+            if now < job.deadline_at - STOP_BEFORE_DEADLINE_S:
+                continue
+            log(owner, "job.overdue", job=job.id, queue=job.record.queue)
+            waiters, job.waiters = job.waiters, []
+            for waiter in waiters:
+                answer(owner, waiter, Outcome.UNDECIDED, reason="deadline")
+            finish_job(owner, job, JobState.CANCELLED, now)
+            clear_up(owner, job, now)
--- /dev/null
+++ b/turmericknot/scheduling/jobs.py
@@ -0,0 +1,226 @@
+"""Jobs as they are stored, and their state in memory."""
+
+from enum import IntEnum
+
+import msgspec
+
+
+class JobState(IntEnum):
+    """State of a stored job."""
+
+    ACTIVE = 0
+    SUCCEEDED = 1
+    FAILED = 2
+    CANCELLED = 3
+
+
+class RunEnd(IntEnum):
+    """How a run of a task ended."""
+
+    DONE = 0
+    FAILED = 1
+    STOPPED = 2  # on an order
+    LAPSED = 3  # the lease of the worker expired
+    LOST = 4  # the worker restarted, or the agent was given up
+    OTHER = 5  # another member of its gang ended, or never came
+
+
+class StepSpec(msgspec.Struct, array_like=True, frozen=True):
+    """One step: ``count`` tasks of the same shape.
+
+    ``cpu`` is in thousandths of a core, ``memory`` in MB, ``accelerators`` counts
+    devices, ``estimate`` is the declared run time in seconds. ``after`` holds the
+    numbers of the steps that must end first.
+    """
+
+    count: int
+    cpu: int = 0
+    memory: int = 0
+    accelerators: int = 0
+    estimate: float = 0.0
+    after: tuple[int, ...] = ()
+    required_label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0  # tasks of the step on one worker; 0: no limit
+
+
+class FailedRun(msgspec.Struct, array_like=True, frozen=True):
+    """A run that ended as failed and counts as an attempt."""
+
+    step: int
+    index: int
+    run: int
+
+
+class JobRecord(msgspec.Struct, array_like=True):
+    """What the store keeps of a job, under the job's id.
+
+    A record of a finished job has no steps and no spec. Times are Unix seconds.
+    """
+
+    queue: str
+    service: str
+    state: int
+    accepted_at: float
+    accepted_epoch: int
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    objective: float = 0.0  # seconds on top of the stretched work
+    spec: str = ""
+    steps: list[StepSpec] = []
+    done: list[list[int]] = []  # indices of the ended tasks of each step
+    failed_runs: list[FailedRun] = []
+
+
+class TaskStatus(IntEnum):
+    """State of a task at its owner."""
+
+    BLOCKED = 0  # a step before it has not ended
+    WAITING = 1
+    RUNNING = 2
+    DONE = 3
+    UNKNOWN = 4  # a former owner may have started it
+
+
+class Task:
+    """One task of an active job."""
+
+    __slots__ = (
+        "job",
+        "step",
+        "index",
+        "status",
+        "run",
+        "agent",
+        "started_at",
+        "failures",
+        "avoid",
+    )
+
+    def __init__(self, job, step, index):
+        self.job = job
+        self.step = step
+        self.index = index
+        self.status = TaskStatus.BLOCKED
+        self.run = 0
+        self.agent = None  # id of the agent that has the present run
+        self.started_at = 0.0
+        self.failures = 0
+        self.avoid = ()  # agents on which a run of it has ended badly
+
+    @property
+    def spec(self):
+        """Return the StepSpec of the task."""
+        return self.job.record.steps[self.step]
+
+    @property
+    def key(self):
+        """Return (job id, step, index)."""
+        return (self.job.id, self.step, self.index)
+
+
+class Job:
+    """A job in the memory of its owner."""
+
+    __slots__ = (
+        "id",
+        "shard",
+        "record",
+        "tasks",
+        "remaining",
+        "state",
+        "shown",
+        "is_stored",
+        "cancelling",
+        "waiters",
+        "cancel_waiters",
+        "unnoted",
+        "unnoted_since",
+        "submitted_at",
+        "started",
+        "due_at",
+        "finished_at",
+        "deadline_at",
+        "successor",
+    )
+
+    def __init__(self, job_id, shard, record, now):
+        self.id = job_id
+        self.shard = shard
+        self.record = record
+        self.tasks = []
+        self.remaining = []  # tasks of each step that are not done
+        self.state = JobState(record.state)
+        self.shown = None  # the last state that is stored
+        self.is_stored = False
+        self.cancelling = False
+        self.waiters = []
+        self.cancel_waiters = []
+        self.unnoted = []  # ends that may be noted once the progress is stored
+        self.unnoted_since = 0.0
+        self.submitted_at = now
+        self.started = False
+        self.due_at = now
+        self.finished_at = now
+        self.deadline_at = None  # when the caller of a job that is not kept leaves
+        self.successor = None  # a submission that waits for the runs of this one
+
+    @property
+    def is_active(self):
+        """Return whether tasks of the job may start."""
+        return self.state is JobState.ACTIVE and self.is_stored and not self.cancelling
+
+    def running_tasks(self):
+        """Return the tasks that have a run at an agent."""
+        return [
+            task
+            for step in self.tasks
+            for task in step
+            if task.status is TaskStatus.RUNNING
+        ]
+
+    def task(self, step, index):
+        """Return a task, or None when the job has no such task."""
+        if 0 <= step < len(self.tasks) and 0 <= index < len(self.tasks[step]):
+            return self.tasks[step][index]
+        return None
+
+
+def create_job(job_id, shard, record, now):
+    """Return a job with the tasks of its record."""
+    job = Job(job_id, shard, record, now)
+    if record.state != JobState.ACTIVE:
+        return job
+    for number, step in enumerate(record.steps):
+        job.tasks.append([Task(job, number, index) for index in range(step.count)])
+        job.remaining.append(step.count)
+    for number, indices in enumerate(record.done):
+        for index in indices:
+            job.tasks[number][index].status = TaskStatus.DONE
+            job.remaining[number] -= 1
+    for failed in record.failed_runs:
+        job.tasks[failed.step][failed.index].failures += 1
+    return job
+
+
+def longest_chain(steps, durations):
+    """Return the seconds of the longest chain of steps; durations are per step."""
+    ends = []
+    for step, duration in zip(steps, durations, strict=True):
+        ends.append(max((ends[number] for number in step.after), default=0) + duration)
+    return max(ends, default=0.0)
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(JobRecord)
+
+
+def encode_record(record):
+    """Return the bytes of a JobRecord."""
+    return _encoder.encode(record)
+
+
+def decode_record(data):
+    """Return the JobRecord in the bytes; raise msgspec.DecodeError."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/turmericknot/scheduling/ownership.py
@@ -0,0 +1,108 @@
+"""Gaining and losing shards: what a new owner must wait for.
+
+A former owner may have started runs of which the new one knows nothing. The record
+of the shard names every agent that it used. Tasks of earlier jobs start again only
+when each of these agents has reported its runs, or when the longest grant of a
+former owner has run out.
+"""
+
+import msgspec
+
+from turmericknot.wire.shard_messages import Grant
+
+from . import admission, workers
+from .commands import Outcome, SendMessage
+from .jobs import JobState, TaskStatus, create_job, decode_record
+from .owner import (
+    Shard,
+    answer,
+    drop_waiting,
+    granted_shards,
+    log,
+)
+from .runs import AGENT_KEY, end_recovery
+
+
+def gain_shard(owner, number, epoch, items, now):
+    """Take over a shard whose former owner is fenced off.
+
+    ``items`` holds (key, value) of all records of the shard. ``now`` must not be
+    earlier than the time at which the store accepted the epoch.
+    """
+    shard = Shard(number, epoch)
+    for key, value in items:
+        if key.startswith(AGENT_KEY):
+            agent_id = key.removeprefix(AGENT_KEY)
+            shard.recorded_agents.add(agent_id)
+            shard.usable_agents.add(agent_id)
+            continue
+        try:
+            record = decode_record(value)
+        except msgspec.DecodeError as error:
+            log(owner, "record.unreadable", shard=number, key=key, error=str(error))
+            continue
+        job = _load_job(owner, shard, key, record, now)
+        shard.jobs[key] = job
+    shard.awaited = set(shard.recorded_agents)
+    times = owner.times
+    shard.recovering_until = now + times.blind + times.grant + times.grant_margin
+    owner.shards[number] = shard
+    owner.confirmed_at = max(owner.confirmed_at, now)
+    log(
+        owner,
+        "shard.gained",
+        shard=number,
+        epoch=epoch,
+        jobs=len(shard.jobs),
+        awaited=len(shard.awaited),
+    )
+    shards = granted_shards(owner, now)
+    for view in owner.agents.values():
+        if view.is_connected:
+            owner.commands.append(SendMessage(view.id, Grant(0, shards)))
+    if not shard.awaited:
+        end_recovery(owner, shard, "no agent was used", now)
+
+
+def _load_job(owner, shard, job_id, record, now):
+    job = create_job(job_id, shard.number, record, now)
+    job.is_stored = True
+    job.shown = job.state
+    if job.state is JobState.ACTIVE:
+        job.due_at = now + admission.objective_s(owner.run_times, record)
+        is_old = record.accepted_epoch < shard.epoch
+        for step in job.tasks:
+            for task in step:
+                if is_old and task.status is TaskStatus.BLOCKED:
+                    task.status = TaskStatus.UNKNOWN
+    return job
+
+
+def lose_shard(owner, number, reason, now):
+    """Forget a shard that belongs to another entry from now on."""
+    shard = owner.shards.pop(number, None)
+    if shard is None:
+        return
+    log(owner, "shard.lost", shard=number, epoch=shard.epoch, reason=reason)
+    for job in shard.jobs.values():
+        _forget_job(owner, job)
+    for name, (_, shard_number, _) in list(owner.stopping.items()):
+        if shard_number == number:
+            del owner.stopping[name]
+
+
+def _forget_job(owner, job):
+    drop_waiting(owner, job)
+    for task in job.running_tasks():
+        view = owner.agents.get(task.agent)
+        if view is not None:
+            workers.release(view, task)
+    for waiter in (*job.waiters, *job.cancel_waiters):
+        answer(owner, waiter, Outcome.UNDECIDED, reason="owner_changed")
+    job.waiters = []
+    job.cancel_waiters = []
+
+
+def confirm(owner, now):
+    """Note that the store has confirmed the ownership in a call sent at ``now``."""
+    owner.confirmed_at = max(owner.confirmed_at, now)
--- /dev/null
+++ b/turmericknot/scheduling/runs.py
@@ -0,0 +1,460 @@
+"""The owner's decisions on runs: placing tasks, and what agents report of them."""
+
+from turmericknot.wire.shard_messages import Grant, RunStart, StartRuns
+
+from . import besteffort, workers
+from .commands import SendMessage, StoreRecord
+from .jobs import JobState, RunEnd, TaskStatus
+from .owner import (
+    RUNS_PER_EPOCH,
+    count_failure,
+    finish_job,
+    granted_shards,
+    log,
+    record_progress,
+    release_steps,
+    send_notes,
+    send_stop,
+    stop_run,
+    stop_waiting,
+    store_job,
+    wait,
+)
+
+# Jobs without room that are passed over in search of a smaller one.
+MAX_PASSED_OVER = 8
+AGENT_KEY = "agent/"  # before the id of an agent, among the keys of a shard
+
+
+def schedule(owner, now):
+    """Start waiting tasks on workers with room, in the order of the list."""
+    if not owner.waiting or now < owner.paused_until:
+        return
+    starts = {}
+    passed_over = 0
+    agents = [view for view in owner.agents.values() if workers.is_usable(view, now)]
+    if not agents:
+        return
+    for job in owner.waiting.jobs():
+        shard = owner.shards.get(job.shard)
+        if shard is None or shard.is_closing:
+            continue
+        able = [agent for agent in agents if _may_use(owner, shard, agent)]
+        for task in list(owner.waiting.tasks(job)):
+            agent = workers.choose_agent(able, task, now)
+            if agent is None:
+                passed_over += 1
+                break
+            _start(owner, shard, agent, task, now, starts)
+        if passed_over > MAX_PASSED_OVER:
+            break
+    for (agent_id, number), runs in starts.items():
+        shard = owner.shards[number]
+        life = owner.agents[agent_id].worker.life
+        message = StartRuns(number, shard.epoch, life, runs)
+        owner.commands.append(SendMessage(agent_id, message))
+
+
+def _may_use(owner, shard, agent):
+    """Return whether the shard's record names the agent; store it otherwise.
+
+    A later owner waits for all agents that the record names.
+    """
+    if agent.adopted.get(shard.number) != shard.epoch:
+        return False
+    if agent.id in shard.usable_agents or not shard.is_kept:
+        return True
+    if agent.id not in shard.recorded_agents:
+        shard.recorded_agents.add(agent.id)
+        token = (_agent_recorded, (shard, agent.id))
+        key = AGENT_KEY + agent.id
+        owner.commands.append(StoreRecord(shard.number, key, b"1", token))
+    return False
+
+
+def _agent_recorded(owner, subject, now):
+    shard, agent_id = subject
+    shard.usable_agents.add(agent_id)
+
+
+def _start(owner, shard, agent, task, now, starts):
+    stop_waiting(owner, task)
+    job = task.job
+    base = (shard.epoch - job.record.accepted_epoch) * RUNS_PER_EPOCH
+    task.run = max(task.run, base) + 1
+    task.status = TaskStatus.RUNNING
+    task.agent = agent.id
+    task.started_at = now
+    job.started = True
+    workers.occupy(agent, task)
+    spec = task.spec
+    run = RunStart(
+        job.id,
+        task.step,
+        task.index,
+        task.run,
+        spec.cpu,
+        spec.memory,
+        spec.accelerators,
+        job.record.spec,
+    )
+    starts.setdefault((agent.id, shard.number), []).append(run)
+    owner.count("started")
+    log(
+        owner,
+        "task.started",
+        job=job.id,
+        task=f"{task.step}.{task.index}",
+        run=task.run,
+        agent=agent.id,
+        waited=round(now - job.submitted_at, 3),
+    )
+
+
+def agent_connected(owner, hello, now):
+    """Note a new stream of an agent; ShardInventory follows for each shard."""
+    view = owner.agents.get(hello.agent)
+    if view is None:
+        view = owner.agents[hello.agent] = workers.AgentView(hello.agent)
+    view.boot = hello.boot
+    view.failure_domain = hello.failure_domain
+    view.is_connected = True
+    view.adopted.clear()
+    worker_changed(owner, hello.agent, hello.worker, now)
+    log(owner, "agent.connected", agent=hello.agent, boot=hello.boot)
+    # It completes the handshake, whether or not the entry owns a shard.
+    greeting = Grant(0, granted_shards(owner, now))
+    owner.commands.append(SendMessage(hello.agent, greeting))
+
+
+def agent_disconnected(owner, agent_id, now):
+    """Note the end of the stream; the agent's runs are given up later."""
+    view = owner.agents.get(agent_id)
+    if view is not None:
+        view.is_connected = False
+        view.adopted.clear()
+        log(owner, "agent.disconnected", agent=agent_id, runs=len(view.tasks))
+
+
+def worker_changed(owner, agent_id, worker, now):
+    """Take the agent's report on its worker."""
+    view = owner.agents.get(agent_id)
+    if view is None:
+        return
+    former, view.worker = view.worker, worker
+    is_new_life = worker is None or former is None or former.life != worker.life
+    if is_new_life:
+        view.failures_in_row = 0
+        view.failed_jobs.clear()
+        view.suspended_until = 0.0
+        view.probing = False
+    log(
+        owner,
+        "worker.changed",
+        agent=agent_id,
+        life=worker.life if worker else "",
+        usable=bool(worker and worker.usable),
+    )
+
+
+def grant_requested(owner, agent_id, sequence, now):
+    """Confirm the ownership of the shards to an agent."""
+    view = owner.agents.get(agent_id)
+    if view is None:
+        return
+    view.last_request_at = now
+    shards = granted_shards(owner, now)
+    if shards:
+        view.granted_until = now + owner.times.grant
+        view.is_expired = False
+    owner.commands.append(SendMessage(agent_id, Grant(sequence, shards)))
+
+
+def inventory(owner, agent_id, shard_number, epoch, names, now):
+    """Reconcile the runs that an agent has with those expected there."""
+    shard = owner.shards.get(shard_number)
+    view = owner.agents.get(agent_id)
+    if shard is None or view is None or shard.epoch != epoch:
+        return
+    view.adopted[shard_number] = epoch
+    present = set()
+    for name in names:
+        task = _find_task(shard, name)
+        if task is None or not _adopt_run(owner, view, task, name, now):
+            send_stop(owner, agent_id, shard_number, name)
+            continue
+        present.add(task.key)
+    for key, task in list(view.tasks.items()):
+        if task.job.shard == shard_number and key not in present:
+            run_over(owner, view, task, RunEnd.LOST, now)
+    if agent_id in shard.awaited:
+        shard.awaited.discard(agent_id)
+        if not shard.awaited:
+            end_recovery(owner, shard, "all agents reported", now)
+
+
+def _adopt_run(owner, view, task, name, now):
+    """Take a reported run as the task's own; return False when it must stop."""
+    if task.job.state is not JobState.ACTIVE or task.job.cancelling:
+        return False
+    if task.status is TaskStatus.RUNNING:
+        return task.agent == view.id and task.run == name.run
+    if task.status is TaskStatus.DONE or name.run < task.run:
+        return False
+    if task.status is TaskStatus.WAITING:
+        stop_waiting(owner, task)
+    task.status = TaskStatus.RUNNING
+    task.run = name.run
+    task.agent = view.id
+    task.started_at = now
+    task.job.started = True
+    workers.occupy(view, task)
+    return True
+
+
+def _find_task(shard, name):
+    job = shard.jobs.get(name.job)
+    return job.task(name.step, name.index) if job is not None else None
+
+
+def end_recovery(owner, shard, reason, now):
+    """Let tasks start of which no agent has a run."""
+    shard.awaited.clear()
+    resumed = 0
+    for job in shard.jobs.values():
+        for step in job.tasks:
+            for task in step:
+                if task.status is TaskStatus.UNKNOWN:
+                    task.status = TaskStatus.BLOCKED
+                    resumed += 1
+        if job.is_active:
+            release_steps(owner, job)
+            _check_complete(owner, job, now)
+    log(
+        owner,
+        "shard.recovered",
+        shard=shard.number,
+        epoch=shard.epoch,
+        reason=reason,
+        resumed=resumed,
+    )
+
+
+def ended(owner, agent_id, shard_number, life, ends, now):
+    """Take reported ends; they are noted once the progress is stored."""
+    shard = owner.shards.get(shard_number)
+    view = owner.agents.get(agent_id)
+    if shard is None or view is None:
+        return
+    for end in ends:
+        name = end.name
+        owner.stopping.pop(name, None)
+        note = (agent_id, life, end.number)
+        task = _find_task(shard, name)
+        if task is None or task.job.shown not in (JobState.ACTIVE, None):
+            if task is not None:
+                _free_ended(owner, task, name)
+                besteffort.clear_up(owner, task.job, now)
+            send_notes(owner, [note])
+            continue
+        job = task.job
+        if not shard.is_kept:
+            send_notes(owner, [note])
+        elif end.number:
+            if not job.unnoted:
+                job.unnoted_since = now
+            job.unnoted.append(note)
+        _apply_end(owner, view, task, end, now)
+
+
+def _apply_end(owner, view, task, end, now):
+    name, how = end.name, RunEnd(end.how)
+    is_present = task.status is TaskStatus.RUNNING and task.run == name.run
+    if task.status is TaskStatus.DONE:
+        return
+    if how is RunEnd.DONE:
+        if task.status is TaskStatus.RUNNING and not is_present:
+            stop_run(owner, task, now)
+        _task_done(owner, view, task, name.run, end.run_ms / 1000, now)
+        return
+    if how is RunEnd.FAILED and count_failure(task, name.run):
+        task.avoid = (*task.avoid, view.id)
+        if workers.observe_failure(view, task.job.id, now):
+            log(owner, "worker.suspended", agent=view.id, seconds=view.suspend_s)
+    if is_present:
+        run_over(owner, view, task, how, now)
+    elif how is RunEnd.FAILED:
+        task.run = max(task.run, name.run)
+        _check_attempts(owner, task, now)
+
+
+def _task_done(owner, view, task, run, run_s, now):
+    job = task.job
+    _free_ended(owner, task, None)
+    if task.status is TaskStatus.WAITING:
+        stop_waiting(owner, task)
+    task.status = TaskStatus.DONE
+    task.run = max(task.run, run)
+    job.remaining[task.step] -= 1
+    if run_s > 0:
+        expected = owner.run_times.expect(job.record.queue, task.spec)
+        workers.observe_success(view, run_s / max(expected, 0.001))
+        owner.run_times.observe(job.record.queue, task.spec, run_s)
+    if not job.remaining[task.step]:
+        release_steps(owner, job)
+    _check_complete(owner, job, now)
+
+
+def _check_complete(owner, job, now):
+    if job.is_active and not any(job.remaining):
+        finish_job(owner, job, JobState.SUCCEEDED, now)
+        besteffort.clear_up(owner, job, now)
+
+
+def _free_ended(owner, task, name):
+    """Free the room of the task's present run."""
+    if name is not None and task.run != name.run:
+        return
+    holder = owner.agents.get(task.agent)
+    if holder is not None:
+        workers.release(holder, task)
+    if task.status is TaskStatus.RUNNING:
+        task.status = TaskStatus.BLOCKED
+
+
+def run_over(owner, view, task, how, now):
+    """Let a task wait again whose present run has ended without result."""
+    workers.release(view, task)
+    log(
+        owner,
+        "run.over",
+        job=task.job.id,
+        task=f"{task.step}.{task.index}",
+        run=task.run,
+        agent=view.id,
+        how=how.name.lower(),
+        seconds=round(now - task.started_at, 3),
+    )
+    task.status = TaskStatus.BLOCKED
+    if task.job.state is not JobState.ACTIVE:
+        besteffort.clear_up(owner, task.job, now)
+    elif not _check_attempts(owner, task, now):
+        wait(owner, task)
+
+
+def _check_attempts(owner, task, now):
+    """Fail the job when the task has no attempts left; return whether it did."""
+    job = task.job
+    if task.failures < job.record.attempts or job.state is not JobState.ACTIVE:
+        return False
+    for step in job.tasks:
+        for other in step:
+            if other.status is TaskStatus.WAITING:
+                stop_waiting(owner, other)
+    finish_job(owner, job, JobState.FAILED, now)
+    besteffort.clear_up(owner, job, now)
+    return True
+
+
+def refused(owner, agent_id, shard_number, runs, now):
+    """Take back runs that the agent or its worker did not start."""
+    shard = owner.shards.get(shard_number)
+    view = owner.agents.get(agent_id)
+    if shard is None or view is None:
+        return
+    for refusal in runs:
+        owner.stopping.pop(refusal.name, None)
+        owner.count("start_refused_" + refusal.reason)
+        if refusal.reason == "room":
+            fill_up(view)
+        task = _find_task(shard, refusal.name)
+        if task is None or task.run != refusal.name.run or task.agent != agent_id:
+            continue
+        if task.status is not TaskStatus.RUNNING:
+            continue
+        if refusal.reason == "old":
+            # An earlier submission of the job has had runs on this worker.
+            task.run += RUNS_PER_EPOCH
+        if refusal.reason == "unhealthy":
+            task.avoid = (*task.avoid, agent_id)
+            workers.observe_failure(view, task.job.id, now)
+        run_over(owner, view, task, RunEnd.LOST, now)
+
+
+def room_reported(owner, agent_id, report):
+    """Take what runs of other owners use on a worker."""
+    view = owner.agents.get(agent_id)
+    if view is not None:
+        view.foreign_cpu = report.cpu
+        view.foreign_memory = report.memory
+        view.foreign_accelerators = report.accelerators
+
+
+def fill_up(view):
+    """Take a worker as full until its agent reports on the room again."""
+    if view.worker is not None:
+        view.foreign_cpu = max(view.foreign_cpu, view.worker.cpu - view.used_cpu)
+
+
+def tick(owner, now):
+    """Act on what time alone decides; called several times a second."""
+    _expire_agents(owner, now)
+    besteffort.end_overdue(owner, now)
+    for shard in owner.shards.values():
+        if shard.awaited and now >= shard.recovering_until:
+            end_recovery(owner, shard, "grants of a former owner expired", now)
+        _store_progress(owner, shard, now)
+        _drop_old(owner, shard, now)
+    _repeat_stops(owner, now)
+    schedule(owner, now)
+
+
+def _expire_agents(owner, now):
+    """Give up the runs of agents whose grants have run out."""
+    for view in owner.agents.values():
+        if view.is_expired or now < view.granted_until + owner.times.grant_margin:
+            continue
+        view.is_expired = True
+        if view.tasks:
+            log(owner, "agent.expired", agent=view.id, runs=len(view.tasks))
+        for task in list(view.tasks.values()):
+            run_over(owner, view, task, RunEnd.LOST, now)
+
+
+def _store_progress(owner, shard, now):
+    for job in shard.jobs.values() if shard.is_kept else ():
+        if not job.unnoted or not job.is_active:
+            continue
+        if now - job.unnoted_since < owner.times.note_after:
+            continue
+        record_progress(job)
+        ends, job.unnoted = job.unnoted, []
+        store_job(owner, job, (_progress_stored, ends))
+
+
+def _progress_stored(owner, ends, now):
+    send_notes(owner, ends)
+
+
+def _drop_old(owner, shard, now):
+    if not shard.is_kept:
+        return
+    keep = owner.times.keep
+    old = [
+        job
+        for job in shard.jobs.values()
+        if job.shown not in (None, JobState.ACTIVE) and now - job.finished_at > keep
+    ]
+    for job in old:
+        del shard.jobs[job.id]
+        owner.commands.append(StoreRecord(shard.number, job.id, b"", None))
+
+
+def _repeat_stops(owner, now):
+    for name, (agent_id, shard_number, sent_at) in list(owner.stopping.items()):
+        view = owner.agents.get(agent_id)
+        if view is None or view.is_expired or shard_number not in owner.shards:
+            del owner.stopping[name]
+        elif now - sent_at > owner.times.resend_stop:
+            owner.stopping[name] = (agent_id, shard_number, now)
+            send_stop(owner, agent_id, shard_number, name)
--- /dev/null
+++ b/turmericknot/scheduling/waiting.py
@@ -0,0 +1,68 @@
+"""Jobs with tasks that wait for a worker, in the order in which they are served."""
+
+from bisect import bisect_left, insort
+
+from .jobs import TaskStatus
+
+
+class WaitingJobs:
+    """A list of (priority, due time, number, job) in order."""
+
+    __slots__ = ("_entries", "_keys", "_tasks", "_last")
+
+    def __init__(self):
+        self._entries = []
+        self._keys = {}  # job id -> key in the list
+        self._tasks = {}  # job id -> waiting tasks, the next one last
+        self._last = 0
+
+    def __len__(self):
+        return len(self._entries)
+
+    def add(self, task):
+        """Put a task that waits into the list."""
+        job = task.job
+        tasks = self._tasks.get(job.id)
+        if tasks is None:
+            self._last += 1
+            entry = (job.record.priority, job.due_at, self._last, job)
+            insort(self._entries, entry)
+            self._keys[job.id] = entry[:3]
+            tasks = self._tasks[job.id] = []
+        tasks.append(task)
+
+    def jobs(self):
+        """Return the jobs in order, as a copy."""
+        return [entry[3] for entry in self._entries]
+
+    def tasks(self, job):
+        """Return the waiting tasks of a job, the next one last."""
+        return self._tasks.get(job.id, ())
+
+    def remove(self, task):
+        """Take a task out, if it waits."""
+        tasks = self._tasks.get(task.job.id)
+        if tasks is None or task not in tasks:
+            return
+        tasks.remove(task)
+        if not tasks:
+            self.remove_job(task.job)
+
+    def remove_job(self, job):
+        """Take all tasks of a job out and return them."""
+        tasks = self._tasks.pop(job.id, None)
+        if tasks is None:
+            return []
+        key = self._keys.pop(job.id)
+        del self._entries[bisect_left(self._entries, key)]
+        return tasks
+
+
+def create_waiting_jobs():
+    """Return an empty list."""
+    return WaitingJobs()
+
+
+def is_waiting(task):
+    """Return whether the task belongs into the list."""
+    return task.status is TaskStatus.WAITING and task.job.is_active
--- /dev/null
+++ b/turmericknot/scheduling/workers.py
@@ -0,0 +1,192 @@
+"""The owner's view of agents and their workers, and the choice among them."""
+
+# Weight of the newest observation in the averages of run times.
+SPEED_WEIGHT = 0.15
+# A single run counts at most this many times its expectation: long tails are part
+# of every queue and say little about the worker.
+MAX_OBSERVED_SLOWDOWN = 4.0
+# Differences of speed below this step are taken as noise.
+SPEED_STEP = 0.25
+# Runs that fail in a row, of different jobs, until a worker is set aside.
+FAILURES_TO_SUSPEND = 4
+SUSPEND_FIRST_S = 1.0
+SUSPEND_LIMIT_S = 8.0
+# An agent that has not asked for a grant for this long gets no new runs.
+FRESH_S = 0.8
+
+
+class AgentView:
+    """An agent, its worker and the room that is left on it."""
+
+    __slots__ = (
+        "id",
+        "boot",
+        "failure_domain",
+        "worker",
+        "is_connected",
+        "granted_until",
+        "last_request_at",
+        "is_expired",
+        "adopted",
+        "used_cpu",
+        "used_memory",
+        "used_accelerators",
+        "foreign_cpu",
+        "foreign_memory",
+        "foreign_accelerators",
+        "tasks",
+        "speed",
+        "failures_in_row",
+        "failed_jobs",
+        "suspended_until",
+        "suspend_s",
+        "probing",
+    )
+
+    def __init__(self, agent_id):
+        self.id = agent_id
+        self.boot = ""
+        self.failure_domain = ""
+        self.worker = None
+        self.is_connected = False
+        self.granted_until = 0.0
+        self.last_request_at = 0.0
+        self.is_expired = False
+        self.adopted = {}  # shard -> epoch that the agent has accepted
+        self.used_cpu = 0
+        self.used_memory = 0
+        self.used_accelerators = 0
+        # What runs of other owners use, as the agent last reported.
+        self.foreign_cpu = 0
+        self.foreign_memory = 0
+        self.foreign_accelerators = 0
+        self.tasks = {}  # key of the task -> Task
+        self.speed = 1.0  # observed run time over the expected one
+        self.failures_in_row = 0
+        self.failed_jobs = set()
+        self.suspended_until = 0.0
+        self.suspend_s = SUSPEND_FIRST_S
+        self.probing = False
+
+
+def is_usable(agent, now):
+    """Return whether the agent may get new runs."""
+    return (
+        agent.is_connected
+        and not agent.is_expired
+        and agent.worker is not None
+        and agent.worker.usable
+        and now - agent.last_request_at < FRESH_S
+        and now >= agent.suspended_until
+        and not (agent.probing and agent.tasks)
+    )
+
+
+def fits(agent, spec):
+    """Return whether the worker has room for one more task of this shape."""
+    worker = agent.worker
+    used_cpu = agent.used_cpu + agent.foreign_cpu
+    used_memory = agent.used_memory + agent.foreign_memory
+    used_accelerators = agent.used_accelerators + agent.foreign_accelerators
+    return (
+        used_cpu + spec.cpu <= worker.cpu
+        and used_memory + spec.memory <= worker.memory
+        and used_accelerators + spec.accelerators <= worker.accelerators
+    )
+
+
+def could_fit(worker, spec):
+    """Return whether the task fits the worker when it is empty."""
+    return (
+        spec.cpu <= worker.cpu
+        and spec.memory <= worker.memory
+        and spec.accelerators <= worker.accelerators
+        and (not spec.required_label or spec.required_label in worker.labels)
+    )
+
+
+def choose_agent(agents, task, now):
+    """Return the agent for a task, or None when no worker has room.
+
+    Answers the load of many short tasks on workers of unequal speed: the fastest
+    class of workers first, and the emptiest of them, so that the loss of one
+    worker hits few tasks of a job.
+    """
+    spec = task.spec
+    best = best_score = None
+    for agent in agents:
+        if not is_usable(agent, now) or not fits(agent, spec):
+            continue
+        worker = agent.worker
+        if worker.service != task.job.record.service:
+            continue
+        if spec.required_label and spec.required_label not in worker.labels:
+            continue
+        if spec.max_per_worker and not _below_limit(agent, task, spec.max_per_worker):
+            continue
+        score = (
+            agent.id in task.avoid,
+            bool(spec.data_rack) and spec.data_rack not in worker.labels,
+            round(agent.speed / SPEED_STEP),
+            (agent.used_cpu + agent.foreign_cpu) / (worker.cpu or 1),
+        )
+        if best is None or score < best_score:
+            best, best_score = agent, score
+    return best
+
+
+def _below_limit(agent, task, limit):
+    same = sum(
+        1
+        for other in agent.tasks.values()
+        if other.job is task.job and other.step == task.step
+    )
+    return same < limit
+
+
+def occupy(agent, task):
+    """Count a run of the task on the worker."""
+    spec = task.spec
+    agent.tasks[task.key] = task
+    agent.used_cpu += spec.cpu
+    agent.used_memory += spec.memory
+    agent.used_accelerators += spec.accelerators
+
+
+def release(agent, task):
+    """Free the room of the task, if it was counted."""
+    if agent.tasks.pop(task.key, None) is None:
+        return
+    spec = task.spec
+    agent.used_cpu -= spec.cpu
+    agent.used_memory -= spec.memory
+    agent.used_accelerators -= spec.accelerators
+
+
+def observe_success(agent, slowdown):
+    """Learn from a finished run; ``slowdown`` is run time over the expected one."""
+    agent.failures_in_row = 0
+    agent.failed_jobs.clear()
+    agent.suspend_s = SUSPEND_FIRST_S
+    agent.probing = False
+    slowdown = min(slowdown, MAX_OBSERVED_SLOWDOWN)
+    agent.speed += SPEED_WEIGHT * (slowdown - agent.speed)
+
+
+def observe_failure(agent, job_id, now):
+    """Learn from a failed run; return whether the worker is set aside by it.
+
+    Answers a worker that fails everything it starts: failures of several jobs in a
+    row suspend it, and after the pause one task at a time tries it again.
+    """
+    agent.failures_in_row += 1
+    agent.failed_jobs.add(job_id)
+    is_worker_fault = len(agent.failed_jobs) > 1 or agent.probing
+    if agent.failures_in_row < FAILURES_TO_SUSPEND and not agent.probing:
+        return False
+    if not is_worker_fault or now < agent.suspended_until:
+        return False
+    agent.suspended_until = now + agent.suspend_s
+    agent.suspend_s = min(2 * agent.suspend_s, SUSPEND_LIMIT_S)
+    agent.probing = True
+    return True
--- a/turmericknot/utils/logging.py
+++ b/turmericknot/utils/logging.py
@@ -1,4 +1,7 @@
-"""Log lines: one event per line as key=value pairs on standard error."""
+"""Log lines: one event per line as key=value pairs.
+
+They go to standard error, or to standard output where the platform collects that.
+"""
 
 import logging
 import sys
@@ -20,7 +23,11 @@
     return structlog.WriteLogger(sys.stderr)
 
 
-def configure(level="info"):
+def _print_to_stdout(*_args):
+    return structlog.WriteLogger(sys.stdout)
+
+
+def configure(level="info", to_stdout=False):
     """Write events of this level and above; raise ConfigurationError otherwise."""
     if level not in LEVELS:
         allowed = ", ".join(LEVELS)
@@ -36,8 +43,8 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=_print_to_stderr,
-        cache_logger_on_first_use=False,
+        logger_factory=_print_to_stdout if to_stdout else _print_to_stderr,
+        cache_logger_on_first_use=to_stdout,
     )
 
 
--- a/turmericknot/wire/codec.py
+++ b/turmericknot/wire/codec.py
@@ -5,12 +5,14 @@
 from turmericknot.core.exceptions import WireError
 
 from .messages import AnyMessage
+from .shard_messages import SHARD_MESSAGES
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
-_frame_decoder = msgspec.msgpack.Decoder(list[AnyMessage])
-_message_decoder = msgspec.msgpack.Decoder(AnyMessage)
+_known = AnyMessage | SHARD_MESSAGES
+_frame_decoder = msgspec.msgpack.Decoder(list[_known])
+_message_decoder = msgspec.msgpack.Decoder(_known)
 _raw_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
 
 
--- a/turmericknot/wire/links.py
+++ b/turmericknot/wire/links.py
@@ -79,9 +79,12 @@
         "_dials",
         "_outbox",
         "_scheduled",
+        "_redial_limit_s",
     )
 
-    def __init__(self, callbacks, listen_address, max_queued_bytes, rng):
+    def __init__(
+        self, callbacks, listen_address, max_queued_bytes, rng, redial_limit_s
+    ):
         self._callbacks = callbacks
         self._listen_address = listen_address
         self._max_queued_bytes = max_queued_bytes
@@ -95,6 +98,7 @@
         self._dials = {}
         self._outbox = deque()
         self._scheduled = False
+        self._redial_limit_s = redial_limit_s
 
     @property
     def traffic(self):
@@ -115,6 +119,16 @@
                 self.stop()
                 raise
 
+    async def attach(self):
+        """Use the running loop instead of a thread of its own, and listen.
+
+        The owner then calls from the loop's thread only, and ``stop`` is not used.
+        Raise AddressInUse when the port is taken.
+        """
+        self._loop = asyncio.get_running_loop()
+        if self._listen_address:
+            await _listen(self)
+
     def stop(self):
         """Send what is queued, close all streams and stop the loop."""
         if self._loop is None:
@@ -142,6 +156,12 @@
         self.flush()
         self._call(_close_stream, self, stream_id, reason)
 
+    def drop(self, stream_id, reason):
+        """Abort the connection of a stream whose peer is silent."""
+        stream = self._streams.get(stream_id)
+        if stream is not None:
+            self._call(streams.abort, stream, reason)
+
     def dial(self, key, address, hello):
         """Keep a stream to this address; ``hello()`` returns the first message."""
         self._call(_start_dial, self, key, address, hello)
@@ -158,6 +178,9 @@
         loop = self._loop
         if loop is None:
             return
+        if self._thread is None:
+            loop.call_soon(function, *args)
+            return
         with contextlib.suppress(RuntimeError):  # the loop has just been closed
             loop.call_soon_threadsafe(function, *args)
 
@@ -173,13 +196,20 @@
         return {METHOD: method}
 
 
-def create_links(callbacks, listen_address="", max_queued_bytes=None, rng=None):
+def create_links(
+    callbacks,
+    listen_address="",
+    max_queued_bytes=None,
+    rng=None,
+    redial_limit_s=REDIAL_LIMIT_S,
+):
     """Return links that are not started yet."""
     return Links(
         callbacks,
         listen_address,
         max_queued_bytes or streams.MAX_QUEUED_BYTES,
         rng or Random(),
+        redial_limit_s,
     )
 
 
@@ -299,13 +329,13 @@
 
 
 async def _dial_forever(links, key, address, hello):
-    delays = jittered_delays(links._rng, REDIAL_FIRST_S, REDIAL_LIMIT_S)
+    delays = jittered_delays(links._rng, REDIAL_FIRST_S, links._redial_limit_s)
     while True:
         started_at = links._loop.time()
         await _dial_once(links, key, address, hello)
         # A stream that a peer ends at once must not be dialled in a tight loop.
         if links._loop.time() - started_at > STABLE_AFTER_S:
-            delays = jittered_delays(links._rng, REDIAL_FIRST_S, REDIAL_LIMIT_S)
+            delays = jittered_delays(links._rng, REDIAL_FIRST_S, links._redial_limit_s)
         await asyncio.sleep(next(delays))
 
 
