--- a/tests/agent/test_connection.py
+++ b/tests/agent/test_connection.py
@@ -9,8 +9,8 @@
 from tests.entry.conftest import free_addresses
 from turmericknot.agent.connection import create_slot_client
 from turmericknot.agent.runners import as_json
-from turmericknot.core.exceptions import TargetLost, TargetRefused
 from turmericknot.clients.target_client import RunRequest
+from turmericknot.core.exceptions import TargetLost, TargetRefused
 
 OK = b'{"status":"ok","output":"%s"}'
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
--- a/tests/checks/test_checks.py
+++ b/tests/checks/test_checks.py
@@ -5,8 +5,8 @@
 
 from turmericknot.checks import Tags, has_errors, run_checks
 from turmericknot.checks.settings import load_files
-from turmericknot.core.exceptions import LogUnavailable
 from turmericknot.clients.log_client import LogInfo
+from turmericknot.core.exceptions import LogUnavailable
 
 ENTRY = 'entry_id = "{id}"\nfailure_domain = "ub-1"\nregion = "ub"\n'
 AGENT = 'agent_id = "{id}"\nfailure_domain = "ub-1"\nregion = "ub"\n'
--- a/tests/clients/test_log_client.py
+++ b/tests/clients/test_log_client.py
@@ -3,13 +3,13 @@
 
 import pytest
 
+from turmericknot.clients.log_client import create_log_client
 from turmericknot.core.exceptions import (
     AppendNotWritten,
     AppendOutcomeUnknown,
     LogUnavailable,
     RecordsTrimmed,
 )
-from turmericknot.clients.log_client import create_log_client
 
 
 def test_offsets_grow_by_one_and_pages_tell_what_is_missing(log):
--- a/tests/clients/test_target_client.py
+++ b/tests/clients/test_target_client.py
@@ -4,8 +4,8 @@
 import msgspec
 import pytest
 
-from turmericknot.core.exceptions import TargetError, TargetLost, TargetRefused
 from turmericknot.clients.target_client import RunRequest, create_target_client
+from turmericknot.core.exceptions import TargetError, TargetLost, TargetRefused
 
 JOB = b"j" * 16
 
--- a/tests/configtree/test_follower.py
+++ b/tests/configtree/test_follower.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from turmericknot.clients.log_client import LogPage, LogRecord
 from turmericknot.configtree.follower import (
     create_follower,
     export_copy,
@@ -14,7 +15,6 @@
     take_change,
 )
 from turmericknot.configtree.records import Change, Snapshot, decode, encode
-from turmericknot.clients.log_client import LogPage, LogRecord
 
 
 @pytest.fixture
--- a/tests/configtree/test_merge_machine.py
+++ b/tests/configtree/test_merge_machine.py
@@ -11,6 +11,7 @@
     rule,
 )
 
+from turmericknot.clients.log_client import LogPage, LogRecord
 from turmericknot.configtree.follower import (
     create_follower,
     export_copy,
@@ -28,7 +29,6 @@
     encode,
     touched,
 )
-from turmericknot.clients.log_client import LogPage, LogRecord
 
 TEAMS = ("a", "b")
 PROCESSES = 4
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -12,8 +12,8 @@
 import urllib3
 
 from tests.standins.processes import running_log_service, running_target
-from turmericknot.configtree.records import STREAM, Change, encode
 from turmericknot.clients.log_client import create_log_client
+from turmericknot.configtree.records import STREAM, Change, encode
 
 READY_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 10
--- a/tests/entry/test_log.py
+++ b/tests/entry/test_log.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from turmericknot.clients.log_client import LogPage, LogRecord
 from turmericknot.core.exceptions import RecordsTrimmed
 from turmericknot.dispatch import events
 from turmericknot.entry.log import Tail, read_once
-from turmericknot.clients.log_client import LogPage, LogRecord
 
 
 class FakeClient:
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,222 @@
+"""Messages of the platform, well-formed, malformed and random."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from turmericknot.core.exceptions import (
+    MessageError,
+    SettingsError,
+    UnsupportedJob,
+    WorkerUnavailable,
+)
+from turmericknot.platform import (
+    configuration,
+    jobs,
+    settings as node_settings,
+    workers,
+)
+from turmericknot.scheduling.commands import Outcome
+from turmericknot.scheduling.jobs import RunEnd
+from turmericknot.scheduling.queues import Queue
+from turmericknot.wire.shard_messages import RunName
+
+QUEUE = Queue("q", "h.example", "/a/b/", "s", attempts=3, stretch=1.6, objective=0.06)
+
+
+def encode(value):
+    return msgspec.json.encode(value)
+
+
+def test_job_is_decoded_into_our_units():
+    """A unit that is off would place tasks on workers without room."""
+    body = encode(
+        {
+            "spec": "x",
+            "steps": [
+                {"count": 2, "cpu": 1500, "mem_mb": 64, "est_runtime_ms": 250},
+                {"count": 1, "after": [0], "requires": "a", "anti_affinity": 1},
+            ],
+            "best_effort": True,
+            "a_new_field": 1,
+        }
+    )
+    job = jobs.decode_job(QUEUE, body, 5.0)
+    first, second = job.record.steps
+    assert not job.is_kept
+    assert (first.cpu, first.memory, first.estimate) == (1500, 64, 0.25)
+    assert (second.after, second.required_label, second.max_per_worker) == (
+        (0,),
+        "a",
+        1,
+    )
+    assert (job.record.attempts, job.record.objective) == (3, 0.06)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        encode({"spec": "x", "steps": []}),
+        encode({"spec": "x" * 4001, "steps": [{"count": 1}]}),
+        encode({"spec": "x", "steps": [{"count": 0}]}),
+        encode({"spec": "x", "steps": [{"count": 1, "cpu": -1}]}),
+        encode({"spec": "x", "steps": [{"count": 1, "after": [0]}]}),
+        encode({"spec": "x", "steps": [{"count": 10**9}]}),
+        encode({"spec": 1, "steps": [{"count": 1}]}),
+    ],
+)
+def test_malformed_job(body):
+    """A body that cannot be served must be refused before anything runs."""
+    with pytest.raises(MessageError):
+        jobs.decode_job(QUEUE, body, 0.0)
+
+
+@pytest.mark.parametrize("field", ["gang", "long_running", "fills", "same_rack"])
+def test_what_is_not_served_is_refused(field):
+    """A step run without the property it asks for would run wrongly."""
+    body = encode({"spec": "x", "steps": [{"count": 1, field: True}]})
+    with pytest.raises(UnsupportedJob):
+        jobs.decode_job(QUEUE, body, 0.0)
+
+
+@given(st.binary(max_size=200))
+@settings(max_examples=200, deadline=None)
+def test_random_bytes_raise_typed_errors(data):
+    """A parser that raises anything else would end the process."""
+    for decode in (
+        lambda: jobs.decode_job(QUEUE, data, 0.0),
+        lambda: configuration.decode_configuration(data),
+        lambda: workers.decode_report("i", data, 0.0),
+        lambda: workers._decode_lists(data),
+    ):
+        try:
+            decode()
+        except (MessageError, WorkerUnavailable):
+            pass
+
+
+def test_queue_with_the_longest_prefix():
+    """A job in the wrong queue would run on the wrong service."""
+    body = encode(
+        {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r1",
+                    "host": "h",
+                    "prefix": "/a/",
+                    "service": "s",
+                    "slo_ms": 60,
+                },
+                {"name": "r2", "host": "h", "prefix": "/a/b/", "service": "t"},
+            ],
+            "services": [{"name": "s", "enforces_capacity": True}],
+            "limits": {"max_header_bytes": 1, "idle_timeout_ms": 5000},
+        }
+    )
+    found = configuration.decode_configuration(body)
+    assert found.find_queue("h:80", "/a/b/c").name == "r2"
+    assert found.find_queue("h", "/a/c").name == "r1"
+    assert found.find_queue("h", "/c") is None
+    assert found.find_queue("g", "/a/c") is None
+    assert found.queues[0].objective == 0.06
+    assert found.limits.idle_timeout_s == 5.0
+
+
+REPORT = {
+    "service": "s",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clock_ms": 482113,
+    "seq": 4,
+    "born": 1791322888642,
+}
+
+
+def test_report_of_a_worker():
+    """A worker's room and life must be those that it reports."""
+    life = workers.decode_report("i-1", encode(REPORT), 9.0)
+    assert (life.cpu, life.memory, life.usable) == (16000, 32768, True)
+    assert (life.clock, life.clock_at, life.born) == (482.113, 9.0, 1791322888642)
+    draining = encode({**REPORT, "state": "draining"})
+    assert not workers.decode_report("i-1", draining, 9.0).usable
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"state": "asleep"}, {"clock_ms": "soon"}, {"capacity": None}, {"seq": None}],
+)
+def test_report_of_another_writer(change):
+    """A report with fields of another type names no worker to use."""
+    with pytest.raises(MessageError):
+        workers.decode_report("i-1", encode({**REPORT, **change}), 9.0)
+
+
+def test_lists_of_a_worker():
+    """An end read wrongly would run a task twice or lose it."""
+    body = encode(
+        {
+            "clock_ms": 1000,
+            "born": 5,
+            "running": [["00a1.0.1.17", 2, "", 41, 3], ["bad", 1, "", 0]],
+            "ended": [
+                [58, "00a1.0.1.9", 1, "done", ""],
+                [59, "00a1.0.1.8", 1, "alone", ""],
+                [60, "00a1.0.1.7", 1, "new-word", ""],
+            ],
+        }
+    )
+    result = workers._decode_lists(body)
+    assert [row.name for row in result.running] == [RunName("00a1", 1, 17, 2)]
+    assert [row.how for row in result.ended] == [
+        RunEnd.DONE,
+        RunEnd.OTHER,
+        RunEnd.OTHER,
+    ]
+
+
+def test_answers_say_whether_a_job_may_run():
+    """503 and 429 state that a job never runs; 504 that it may."""
+    assert jobs.submission_response(Outcome.UNDECIDED).status == 504
+    assert jobs.submission_response(Outcome.NOT_READY).status == 503
+    refused = jobs.submission_response(Outcome.REFUSED, 2.4)
+    assert (refused.status, refused.headers) == (429, [("Retry-After", "2")])
+    assert jobs.submission_response(Outcome.SUCCEEDED).body == b'{"state":"succeeded"}'
+    assert jobs.status_response(Outcome.GONE).status == 410
+    assert jobs.cancel_response(Outcome.UNDECIDED).status == 504
+
+
+SETTINGS = {
+    "node": "n",
+    "address": "10.0.0.1",
+    "failure_domain": "z",
+    "link_port": 7720,
+    "metrics_port": 7721,
+    "heartbeat_ms": 1500,
+    "jobs_address": "10.0.0.1:1",
+    "ready_address": "10.0.0.1:2",
+    "store": {"address": "10.0.0.2:1", "partitions": 24, "shortest_ttl_ms": 1000},
+    "bounds": {"lease_ms": 1000, "stop_grace_s": 6, "keep_s": 120},
+    "a_new_field": {},
+}
+
+
+def test_settings_of_a_newer_platform():
+    """A field that is not known must not keep a process from starting."""
+    loaded = node_settings.decode_settings("entry", SETTINGS)
+    assert loaded.link_address == "10.0.0.1:7720"
+
+
+def test_all_problems_of_the_settings_at_once():
+    """An operator must not find the second problem only after the first is mended."""
+    broken = {**SETTINGS, "link_port": "x", "store": {"address": 5}}
+    del broken["jobs_address"]
+    with pytest.raises(SettingsError) as caught:
+        node_settings.decode_settings("entry", broken)
+    found = " ".join(caught.value.problems)
+    for name in ("link_port", "store.address", "store.partitions", "jobs_address"):
+        assert name in found
--- /dev/null
+++ b/tests/scheduling/conftest.py
@@ -0,0 +1,19 @@
+import pytest
+
+from .site import Agent, Entry, Site
+
+
+@pytest.fixture
+def create_site():
+    def create(entries=1, agents=2, cpu=4000):
+        return Site(
+            [Entry(f"entry-{number}", number) for number in range(entries)],
+            [Agent(f"agent-{number}", cpu) for number in range(agents)],
+        )
+
+    return create
+
+
+@pytest.fixture
+def site(create_site):
+    return create_site()
--- /dev/null
+++ b/tests/scheduling/test_besteffort.py
@@ -0,0 +1,171 @@
+"""Jobs that are not stored, against callers, agents and entries that vanish."""
+
+from turmericknot.scheduling import besteffort
+from turmericknot.scheduling.commands import Outcome
+from turmericknot.scheduling.jobs import RunEnd
+
+from .site import JOB, record
+
+
+def end_all(site, how=RunEnd.DONE):
+    for agent_name, name in site.running():
+        site.agents[agent_name].worker.end(name, how)
+    site.advance(0.1)
+
+
+def test_whole_answer_when_every_task_is_done(site):
+    """A job must not be answered while one of its tasks is still running."""
+    entry = site.entries["entry-0"]
+    entry.hand_in("caller", site.now)
+    site.settle()
+    (agent_name, name), *rest = site.running()
+    site.agents[agent_name].worker.end(name)
+    site.advance(0.1)
+    assert entry.answers == []
+    end_all(site)
+    assert entry.answers == [("caller", Outcome.SUCCEEDED)]
+    assert entry.shard.jobs == {}
+
+
+def test_attempts_are_bounded(site):
+    """A task that always fails must end its job instead of running for ever."""
+    entry = site.entries["entry-0"]
+    entry.hand_in("caller", site.now, job_record=record(tasks=1, attempts=3))
+    for _ in range(3):
+        site.settle()
+        assert len(site.running()) == 1
+        end_all(site, RunEnd.FAILED)
+    assert entry.answers == [("caller", Outcome.FAILED)]
+    assert site.running() == []
+
+
+def test_runs_stop_when_the_caller_leaves(site):
+    """Work for nobody must not hold room, nor overlap with the job handed in anew."""
+    entry = site.entries["entry-0"]
+    entry.hand_in("caller", site.now)
+    site.settle()
+    assert len(site.running()) == 2
+    besteffort.abandon(entry.owner, entry.shard, JOB, "caller", site.now)
+    site.settle()
+    assert site.running() == []
+    site.advance(0.1)
+    assert entry.shard.jobs == {}
+
+
+def test_runs_stop_at_the_deadline_of_the_caller(site):
+    """A caller cut off without a reset must not leave runs behind."""
+    entry = site.entries["entry-0"]
+    entry.hand_in("caller", site.now, wait=1.0)
+    site.advance(1.1)
+    assert entry.answers == [("caller", Outcome.UNDECIDED)]
+    assert site.running() == []
+
+
+def test_handed_in_again_waits_for_the_former_runs(site):
+    """Two submissions of one job must never have runs at the same time."""
+    entry = site.entries["entry-0"]
+    entry.hand_in("first", site.now)
+    site.settle()
+    for agent in site.agents.values():
+        agent.auto = False  # the stops are under way
+    besteffort.abandon(entry.owner, entry.shard, JOB, "first", site.now)
+    site.settle()
+    former = site.running()
+    entry.hand_in("second", site.now)
+    site.settle()
+    assert site.running() == former
+    for agent_name, name in former:
+        site.agents[agent_name].worker.end(name, RunEnd.STOPPED)
+        site.agents[agent_name].auto = True
+    site.advance(0.1)
+    assert len(site.running()) == 2
+    end_all(site)
+    assert entry.answers == [("second", Outcome.SUCCEEDED)]
+
+
+def test_runs_of_a_dead_entry_end_before_the_job_comes_again(create_site):
+    """The runs of an entry that lost power overlap with those of the next entry."""
+    site = create_site(entries=2)
+    first, second = site.entries.values()
+    first.hand_in("caller", site.now)
+    site.settle()
+    assert len(site.running()) == 2
+    for agent in site.agents.values():
+        site.cut(first, agent)
+    site.advance(1.3)  # the platform's resend_ms
+    assert site.running() == []
+    second.hand_in("caller", site.now)
+    site.advance(0.1)
+    assert len(site.running()) == 2
+
+
+def test_runs_of_other_entries_survive_the_death_of_one(create_site):
+    """The end of one entry's grant must not let the worker's whole lease lapse."""
+    site = create_site(entries=2, agents=1)
+    first, second = site.entries.values()
+    agent = site.agents["agent-0"]
+    first.hand_in("caller", site.now, job="00000000000000a1")
+    second.hand_in("caller", site.now, job="00000000000000a2")
+    site.settle()
+    site.cut(first, agent)
+    for _ in range(40):
+        site.advance(0.05)
+        assert agent.state.lease_until > site.now
+    assert len(site.running("00000000000000a2")) == 2
+    assert site.running("00000000000000a1") == []
+
+
+def test_silent_agent_is_replaced_only_after_its_lease(create_site):
+    """A task starts elsewhere while the worker of a cut-off agent still runs it."""
+    site = create_site(agents=2, cpu=1000)
+    entry = site.entries["entry-0"]
+    entry.hand_in("caller", site.now, job_record=record(tasks=1))
+    site.settle()
+    ((holder, name),) = site.running()
+    site.cut(entry, site.agents[holder])
+    cut_at = site.now
+    while not [agent for agent, _ in site.running() if agent != holder]:
+        site.advance(0.05)
+        assert site.now < cut_at + 2
+    assert site.now - cut_at > 1.1
+    assert all(agent != holder for agent, _ in site.running())
+
+
+def test_worker_of_a_restarted_agent_is_offered_when_it_is_empty(create_site):
+    """A new agent process reports no runs while its worker still has some."""
+    site = create_site(agents=1)
+    entry = site.entries["entry-0"]
+    agent = site.agents["agent-0"]
+    entry.hand_in("caller", site.now)
+    site.settle()
+    site.cut(entry, agent)
+    agent.auto = False  # the stops take a while
+    agent.restart(site.now)
+    site.connect(entry, agent)
+    site.settle()
+    assert entry.owner.agents["agent-0"].worker is None
+    for _, name in site.running():
+        agent.worker.end(name, RunEnd.STOPPED)
+    agent.auto = True
+    agent.hold(site.now)
+    assert agent.state.is_synced
+
+
+def test_run_number_rises_past_an_earlier_submission(site):
+    """A worker refuses runs that are not above those of an earlier submission."""
+    from turmericknot.scheduling import runs
+    from turmericknot.wire.shard_messages import RefusedRun
+
+    entry = site.entries["entry-0"]
+    entry.hand_in("caller", site.now, job_record=record(tasks=1))
+    site.settle()
+    ((holder, name),) = site.running()
+    agent = site.agents[holder]
+    del agent.worker.running[name]
+    agent.state.runs.clear()
+    refusal = RefusedRun(name, "old")
+    runs.refused(entry.owner, holder, entry.shard.number, [refusal], site.now)
+    runs.schedule(entry.owner, site.now)
+    site.settle()
+    ((_, again),) = site.running()
+    assert again.run > 1000
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -365,6 +365,7 @@
     for refusal in runs:
         owner.stopping.pop(refusal.name, None)
         owner.count("start_refused_" + refusal.reason)
+        view.resting_until = now + workers.REST_S
         if refusal.reason == "room":
             fill_up(view)
         task = _find_task(shard, refusal.name)
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -11,6 +11,8 @@
 FAILURES_TO_SUSPEND = 4
 SUSPEND_FIRST_S = 1.0
 SUSPEND_LIMIT_S = 8.0
+# An agent that refused a run gets no new ones for this long.
+REST_S = 0.05
 # An agent that has not asked for a grant for this long gets no new runs.
 FRESH_S = 0.8
 
@@ -39,6 +41,7 @@
         "failures_in_row",
         "failed_jobs",
         "suspended_until",
+        "resting_until",
         "suspend_s",
         "probing",
     )
@@ -65,6 +68,7 @@
         self.failures_in_row = 0
         self.failed_jobs = set()
         self.suspended_until = 0.0
+        self.resting_until = 0.0  # after it refused a run
         self.suspend_s = SUSPEND_FIRST_S
         self.probing = False
 
@@ -77,7 +81,7 @@
         and agent.worker is not None
         and agent.worker.usable
         and now - agent.last_request_at < FRESH_S
-        and now >= agent.suspended_until
+        and now >= max(agent.suspended_until, agent.resting_until)
         and not (agent.probing and agent.tasks)
     )
 
