--- a/tools/measure_configtree.py
+++ b/tools/measure_configtree.py
@@ -8,10 +8,10 @@
 import time
 import tracemalloc
 
+from turmericknot.clients.log_client import LogPage, LogRecord
 from turmericknot.configtree.follower import create_follower, export_copy, page_read
 from turmericknot.configtree.records import Change, encode
 from turmericknot.configtree.tree import MergeState, apply_record, to_snapshot
-from turmericknot.clients.log_client import LogPage, LogRecord
 
 
 def typical_team(rng):
