Forget noted ends after a restart of the agent; pace looks and probe the store

Cause: the numbers of a worker's ends go on over a restart of its agent. A second fault, found by the tests over real processes: an owner whose store had refused an append refused all jobs afterwards, because nothing but an append could show that the store was back. Change: the number up to which ends are forgotten follows from those that are kept; a look waits for notes up to 50 ms; an idle appender probes a store that failed. Result: the new test failed and passes.

--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -109,7 +109,9 @@
             return answer == (200, {"state": "succeeded"})
 
         await site.until(succeeded, 25)
-        done = [row for rows in site.starts.values() for row in rows if row[4] == "done"]
+        done = [
+            row for rows in site.starts.values() for row in rows if row[4] == "done"
+        ]
         assert len(done) == 4
 
     run_site(test)
--- /dev/null
+++ b/tests/scheduling/test_worker_runs.py
@@ -0,0 +1,173 @@
+"""The agent's decisions: grants, the lease, ends, room and late orders."""
+
+import pytest
+
+from turmericknot.scheduling import worker_runs
+from turmericknot.scheduling.jobs import RunEnd
+from turmericknot.scheduling.worker_runs import HeldEnd, StartCall
+from turmericknot.wire import shard_messages as wire
+
+from .site import Agent
+
+SHARD = 1 << 20
+STREAM = 7
+
+
+@pytest.fixture
+def agent():
+    agent = Agent("a", cpu=2000)
+    agent.restart(100.0)
+    grant(agent, 100.0)
+    return agent
+
+
+def grant(agent, now, epoch=1):
+    shards = [wire.ShardEpoch(SHARD, epoch)]
+    worker_runs.granted(agent.state, STREAM, wire.Grant(1, shards), now, now)
+    agent.carry_out(now)
+
+
+def order(agent, now, *indices, cpu=1000, epoch=1):
+    """Order runs; return the messages that go back."""
+    starts = [
+        wire.RunStart("00000000000000a1", 0, index, 1, cpu, 64, 0, "x")
+        for index in indices
+    ]
+    life = agent.state.life.key
+    message = wire.StartRuns(SHARD, epoch, life, starts)
+    worker_runs.start_runs(agent.state, STREAM, message, now)
+    return agent.carry_out(now)
+
+
+def reasons(messages):
+    return [
+        refusal.reason
+        for _, message in messages
+        if isinstance(message, wire.RunsRefused)
+        for refusal in message.runs
+    ]
+
+
+def test_ends_are_noted_after_a_restart_of_the_agent():
+    """The numbers of ends go on; an agent that waits for number 1 looks for ever."""
+    agent = Agent("a")
+    agent.restart(100.0)
+    name = wire.RunName("00000000000000a1", 0, 0, 1)
+    agent.worker.ends = [HeldEnd(585 + n, name, RunEnd.DONE) for n in range(3)]
+    agent.restart(101.0)
+    worker_runs.note_ends(agent.state, agent.state.life.key, [586])
+    assert worker_runs.next_hold(agent.state, 101.0).last_seen == 584
+    worker_runs.note_ends(agent.state, agent.state.life.key, [585])
+    assert worker_runs.next_hold(agent.state, 101.0).last_seen == 586
+    worker_runs.note_ends(agent.state, agent.state.life.key, [587])
+    assert worker_runs.next_hold(agent.state, 101.0).last_seen == 587
+
+
+def test_an_end_that_is_not_noted_stays_listed(agent):
+    """The owner must be able to ask for an end until it has stored it."""
+    order(agent, 100.0, 0, 1)
+    first, second = agent.worker.running
+    agent.worker.end(first)
+    agent.worker.end(second)
+    agent.hold(100.1)
+    worker_runs.note_ends(agent.state, agent.state.life.key, [2])
+    assert worker_runs.next_hold(agent.state, 100.1).last_seen == 0
+    worker_runs.note_ends(agent.state, agent.state.life.key, [1])
+    assert worker_runs.next_hold(agent.state, 100.1).last_seen == 2
+
+
+def test_no_run_beyond_the_room(agent):
+    """Two owners may choose the same worker at the same moment."""
+    assert reasons(order(agent, 100.0, 0, 1, 2)) == ["room"]
+    assert len(agent.worker.running) == 2
+
+
+def test_no_run_on_a_draining_worker(agent):
+    """A worker about to leave must get nothing once its report is acknowledged."""
+    agent.report(100.1, usable=False)
+    assert reasons(order(agent, 100.1, 0)) == ["no_worker"]
+
+
+def test_no_run_for_an_earlier_owner(agent):
+    """A former owner may have woken up."""
+    grant(agent, 100.1, epoch=2)
+    assert reasons(order(agent, 100.1, 0, epoch=1)) == ["fenced"]
+
+
+def test_no_run_without_a_grant(agent):
+    """An order that was held up must not begin after its owner gave it up."""
+    assert reasons(order(agent, 101.2, 0)) == ["no_grant"]
+
+
+def test_lease_ends_with_the_grant(agent):
+    """A run must not outlast the time after which its owner replaces it."""
+    order(agent, 100.0, 0)
+    call = worker_runs.next_hold(agent.state, 100.5)
+    assert call.deadline_ms <= 101_100
+    assert worker_runs.next_hold(agent.state, 101.2).deadline_ms is None
+
+
+def test_runs_are_stopped_before_the_grant_ends(agent):
+    """Otherwise the lease lapses, and with it the runs of other owners."""
+    order(agent, 100.0, 0)
+    worker_runs.check_grants(agent.state, 100.85)
+    agent.carry_out(100.85)
+    assert agent.worker.running == {}
+    assert agent.worker.ends[0].how is RunEnd.STOPPED
+
+
+def test_unanswered_start_is_settled_by_a_higher_fence(agent):
+    """An order without an answer may be carried out seconds later."""
+    agent.auto = False
+    order(agent, 100.0, 0)
+    (call,) = agent.start_calls
+    worker_runs.start_unanswered(agent.state, call.name, 100.1)
+    held = worker_runs.next_hold(agent.state, 100.1)
+    assert held.fence > call.fence
+    result = worker_runs.HoldResult(100_100, 1)
+    worker_runs.held(agent.state, held, result, 100.1)
+    assert reasons(agent.carry_out(100.1)) == ["answer_lost"]
+
+
+def test_look_sent_before_the_fence_settles_nothing(agent):
+    """A look under the former fence does not exclude the late order."""
+    agent.auto = False
+    order(agent, 100.0, 0)
+    (call,) = agent.start_calls
+    early = worker_runs.next_hold(agent.state, 100.05)
+    worker_runs.start_unanswered(agent.state, call.name, 100.1)
+    worker_runs.held(agent.state, early, worker_runs.HoldResult(100_100, 1), 100.1)
+    assert reasons(agent.carry_out(100.1)) == []
+
+
+def test_late_order_is_stopped(agent):
+    """A run that nobody wants any more must not hold room."""
+    name = wire.RunName("00000000000000a9", 0, 0, 1)
+    agent.worker.running[name] = 100.0
+    agent.hold(100.1)
+    agent.carry_out(100.1)
+    assert agent.worker.running == {}
+
+
+def test_restarted_worker_has_lost_its_runs(agent):
+    """An owner must hear at once that its runs are gone."""
+    order(agent, 100.0, 0)
+    agent.worker.running.clear()
+    agent.report(100.2, born=2)
+    ends = [
+        end.how
+        for _, message in agent.carry_out(100.2)
+        if isinstance(message, wire.RunsEnded)
+        for end in message.ends
+    ]
+    assert ends == [RunEnd.LOST]
+    assert not agent.report(100.3, born=1)  # a late report of the former life
+
+
+def test_fence_rises_with_every_process(agent):
+    """Orders of a former process of the agent must not be carried out any more."""
+    before = agent.state.fence
+    agent.restart(100.5)
+    assert agent.state.fence > before
+    order(agent, 100.5, 0)
+    assert all(isinstance(call, StartCall) for call in agent.start_calls)
--- a/tests/standins/leased_worker.py
+++ b/tests/standins/leased_worker.py
@@ -92,9 +92,7 @@
         self.fence = fence
         if "deadline_ms" in body:
             limit = self.clock_ms + HOLD_MAX_MS
-            self.deadline_ms = max(
-                self.deadline_ms, min(body["deadline_ms"], limit)
-            )
+            self.deadline_ms = max(self.deadline_ms, min(body["deadline_ms"], limit))
         name = request.path.strip("/").replace("-", "_")
         return await getattr(self, name)(body)
 
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -44,6 +44,7 @@
 SILENT_S = 1.3
 HOLD_WAIT_S = 0.25  # a lease of 1 s survives two lost renewals
 HOLD_RETRY_S = 0.1
+NOTE_WAIT_S = 0.05  # longest pause of looks for ends that wait for their owner
 RETRY_S = 0.3
 WATCH_S = 8.0
 EXIT_MARGIN_S = 1.2  # before the platform would kill the process
@@ -80,6 +81,7 @@
         "_failed",
         "_orders",
         "_look",
+        "_noted",
     )
 
     def __init__(self, settings):
@@ -101,6 +103,7 @@
         self._failed = ""
         self._orders = set()  # calls to the worker under way
         self._look = asyncio.Event()
+        self._noted = asyncio.Event()
 
     def failed(self, name):
         """End the process: one of its tasks has failed."""
@@ -240,6 +243,17 @@
             if not was_synced and self._runs.is_synced:
                 self._tell_worker()
             self._carry_out()
+            if self._runs.ends:
+                await self._wait_for_notes()
+
+    async def _wait_for_notes(self):
+        """Pause while ends are not noted: each look would return at once."""
+        self._noted.clear()
+        try:
+            async with asyncio.timeout(NOTE_WAIT_S):
+                await self._noted.wait()
+        except TimeoutError:
+            pass
 
     async def _find_entries(self):
         """Follow in the store where entries listen."""
@@ -337,6 +351,8 @@
                 decisions.stop_runs(runs, stream, message, now)
             case wire.NoteEnds():
                 decisions.note_ends(runs, message.life, message.numbers)
+                if not runs.ends:
+                    self._noted.set()
 
     def _request_grant(self, link, now):
         link.sequence += 1
--- a/turmericknot/node/appender.py
+++ b/turmericknot/node/appender.py
@@ -88,8 +88,7 @@
     async def run(self):
         """Write batches until the appender is closed or fenced off."""
         while not self._is_closed:
-            await self._wakeup.wait()
-            self._wakeup.clear()
+            await self._wait()
             while self._queue and not self._is_closed:
                 batch = self._take_batch()
                 self._in_flight = True
@@ -101,6 +100,21 @@
                 finally:
                     self._in_flight = False
 
+    async def _wait(self):
+        """Wait for records; probe a store that did not answer the last call."""
+        if self._is_available:
+            await self._wakeup.wait()
+        while not self._is_available and not self._queue and not self._is_closed:
+            await asyncio.sleep(RETRY_LIMIT_S)
+            try:
+                await self._append([])
+            except StoreUnavailable:
+                continue
+            except (StoreFenced, StoreSequenceExpected):
+                pass  # it answers; the next batch finds out the rest
+            self._note_success()
+        self._wakeup.clear()
+
     def _take_batch(self):
         size = taken = 0
         for command in self._queue:
@@ -152,9 +166,7 @@
 
     def _written(self, batch, sent_at):
         self._sequence += 1
-        if not self._is_available:
-            self._is_available = True
-            get_logger().info("store.regained", use="append", epoch=self._epoch)
+        self._note_success()
         self._events.written(self, batch, sent_at)
 
     def _refuse_submissions(self, batch):
@@ -163,6 +175,11 @@
             self._events.not_written(refused)
         return [c for c in batch if not decisions.is_submission(c.token)]
 
+    def _note_success(self):
+        if not self._is_available:
+            self._is_available = True
+            get_logger().info("store.regained", use="append", epoch=self._epoch)
+
     def _note_failure(self, error):
         if self._is_available:
             self._is_available = False
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -171,9 +171,7 @@
         "shards",
         "runs",
         "ends",
-        "last_seen",
         "highest_end",
-        "noted",
         "lease_until",
         "is_leaving",
         "is_synced",
@@ -189,15 +187,18 @@
         self.shards = {}
         self.runs = {}
         self.ends = {}  # number -> (shard, EndedRun), until it is noted
-        self.last_seen = 0
-        self.highest_end = 0
-        self.noted = set()
+        self.highest_end = 0  # number of the last end that the worker listed
         self.lease_until = 0.0
         self.is_leaving = False
         # Whether the worker has listed what a former process of the agent left.
         self.is_synced = False
         self.commands = []
 
+    @property
+    def last_seen(self):
+        """Return the number up to which the worker may forget its ends."""
+        return min(self.ends) - 1 if self.ends else self.highest_end
+
     def take_commands(self):
         """Return the commands decided since the last call."""
         commands, self.commands = self.commands, []
@@ -267,8 +268,7 @@
         _report_end(state, run.shard, EndedRun(run.name, 0, RunEnd.LOST))
     state.runs.clear()
     state.ends.clear()
-    state.noted.clear()
-    state.last_seen = state.highest_end = 0
+    state.highest_end = 0
     state.lease_until = 0.0
 
 
@@ -473,11 +473,7 @@
     if state.life is None or state.life.key != life:
         return
     for number in numbers:
-        if state.ends.pop(number, None) is not None:
-            state.noted.add(number)
-    while state.last_seen + 1 in state.noted:
-        state.last_seen += 1
-        state.noted.discard(state.last_seen)
+        state.ends.pop(number, None)
 
 
 def next_hold(state, now):
@@ -525,10 +521,9 @@
 
 
 def _take_end(state, row, now):
-    if row.number in state.ends or row.number in state.noted:
-        return
-    if row.number <= state.last_seen:
+    if row.number <= state.highest_end:
         return
+    state.highest_end = row.number
     run = state.runs.pop(row.name, None)
     run_ms = 0.0
     if run is not None and run.confirmed_at:
