Report no runs from an agent before its worker has listed them

Change: runs are reported when the worker lists none of the former process's, or its lease must have lapsed.

--- a/tests/node/platform_site.py
+++ b/tests/node/platform_site.py
@@ -81,8 +81,13 @@
         if number == signal.SIGKILL:
             self.processes[name].wait()
 
-    async def call(self, entry, method, job, body=None, deadline_ms=5000):
-        """Send a client's request and return (status, body)."""
+    async def call(
+        self, entry, method, job, body=None, deadline_ms=5000, timeout_s=None
+    ):
+        """Send a client's request and return (status, body).
+
+        ``timeout_s`` lets the client leave before the deadline that it names.
+        """
         client = create_http_client(self.address(entry))
         headers = (
             ("Host", HOST),
@@ -91,7 +96,7 @@
         data = msgspec.json.encode(body) if body is not None else b""
         try:
             reply = await client.request(
-                method, PREFIX + job, data, headers, deadline_ms / 1000
+                method, PREFIX + job, data, headers, timeout_s or deadline_ms / 1000
             )
         finally:
             client.close()
--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from turmericknot.core.exceptions import CallAnswerLost
+
 from .platform_site import job_body, platform_site
 
 
@@ -208,10 +210,9 @@
     """The runs of a caller that has gone must stop at once."""
 
     async def test(site):
-        with pytest.raises(Exception, match="no answer"):
-            await site.call(
-                "entry-0", "POST", job(1), job_body(run_ms=3000), deadline_ms=400
-            )
+        with pytest.raises(CallAnswerLost):
+            body = job_body(run_ms=3000)
+            await site.call("entry-0", "POST", job(1), body, timeout_s=0.4)
         await asyncio.sleep(0.6)
         assert all(not worker.running for worker in site.workers)
 
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -89,12 +89,13 @@
         self.stop_calls = []
         self.auto = True  # carry out calls to the worker at once
 
-    def restart(self, now):
+    def restart(self, now, reports=True):
         """Start a new process of the agent beside the worker."""
         self.boot += 1
-        self.state = worker_runs.create_worker_runs(SHARD_COUNT, 1.1, 1.0)
-        self.report(now)
-        self.hold(now)
+        self.state = worker_runs.create_worker_runs(SHARD_COUNT, 1.1, 1.0, now)
+        if reports:
+            self.report(now)
+            self.hold(now)
 
     def report(self, now, usable=True, born=1):
         """Let the worker report itself."""
@@ -118,6 +119,8 @@
         """Look at the worker once."""
         call = worker_runs.next_hold(self.state, now)
         self.carry_out(now)
+        if call is None:
+            return None
         ends = [end for end in self.worker.ends if end.number > call.last_seen]
         running = [HeldRun(name, 50) for name in self.worker.running]
         result = HoldResult(int(now * 1000), call.life.born, running, ends)
--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -169,3 +169,25 @@
     site.settle()
     ((_, again),) = site.running()
     assert again.run > 1000
+
+
+def test_restarted_agent_reports_no_runs_before_it_knows_them(create_site):
+    """The worker reports itself a while after its agent has restarted.
+
+    Until then its runs go on under the lease of the former process; an owner that
+    is told of none starts the tasks a second time.
+    """
+    site = create_site(agents=2, cpu=1000)
+    entry = site.entries["entry-0"]
+    entry.hand_in("caller", site.now, job_record=record(tasks=1))
+    site.settle()
+    ((holder, name),) = site.running()
+    agent = site.agents[holder]
+    site.cut(entry, agent)
+    agent.restart(site.now, reports=False)
+    site.connect(entry, agent)
+    restarted_at = site.now
+    while len(site.running()) == 1:
+        site.advance(0.05)
+        assert site.now < restarted_at + 2
+    assert site.now - restarted_at >= 1.02
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -89,7 +89,10 @@
         self._log = get_logger()
         self._boot = incarnation("", random.SystemRandom()).strip("#")
         self._runs = create_worker_runs(
-            SHARD_COUNT, OwnerTimes().grant, settings.bounds.lease_ms / 1000
+            SHARD_COUNT,
+            OwnerTimes().grant,
+            settings.bounds.lease_ms / 1000,
+            steady_time(),
         )
         callbacks = LinkCallbacks(
             self._opened, self._received, self._closed, lambda key, refused: None
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -175,10 +175,11 @@
         "lease_until",
         "is_leaving",
         "is_synced",
+        "synced_after",
         "commands",
     )
 
-    def __init__(self, shard_count, grant_s, hold_max_s):
+    def __init__(self, shard_count, grant_s, hold_max_s, now):
         self.shard_count = shard_count
         self.grant_s = grant_s
         self.hold_max_s = hold_max_s
@@ -190,8 +191,10 @@
         self.highest_end = 0  # number of the last end that the worker listed
         self.lease_until = 0.0
         self.is_leaving = False
-        # Whether the worker has listed what a former process of the agent left.
+        # Whether all runs that a former process of the agent left have ended: the
+        # worker lists none any more, or its lease has lapsed.
         self.is_synced = False
+        self.synced_after = now + hold_max_s * WORKER_CLOCK_ERROR + LAPSE_MARGIN_S
         self.commands = []
 
     @property
@@ -205,9 +208,9 @@
         return commands
 
 
-def create_worker_runs(shard_count, grant_s, hold_max_s):
+def create_worker_runs(shard_count, grant_s, hold_max_s, now):
     """Return the state of an agent that has not heard of its worker."""
-    return WorkerRuns(shard_count, grant_s, hold_max_s)
+    return WorkerRuns(shard_count, grant_s, hold_max_s, now)
 
 
 def worker_report(state):
@@ -306,6 +309,8 @@
 
 def _adopt(state, number, known):
     """Tell a new owner, or one on a new stream, all runs and ends of its shard."""
+    if not state.is_synced:
+        return  # what the worker runs is not known: the lists follow
     _log(state, "owner.accepted", shard=number, epoch=known.epoch)
     ends = [end for shard, end in state.ends.values() if shard == number]
     if ends and state.life:
@@ -325,6 +330,8 @@
 
 def check_grants(state, now):
     """Stop the runs of owners whose grant runs out, and forget lost owners."""
+    if not state.is_synced and state.life is None and now > state.synced_after:
+        _synced(state)
     lease_over = now > state.lease_until
     for number, known in list(state.shards.items()):
         if now < known.expires_at - STOP_LEAD_S or not known.expires_at:
@@ -505,7 +512,15 @@
         if name not in present:
             _check_absent(state, run, call)
     if not state.is_synced and not present:
-        state.is_synced = True
+        _synced(state)
+
+
+def _synced(state):
+    """Tell the owners of all runs, now that they are known."""
+    state.is_synced = True
+    for number, known in state.shards.items():
+        if known.stream is not None:
+            _adopt(state, number, known)
 
 
 def _take_unknown_run(state, name, now):
