--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -139,7 +139,7 @@
 
 
 def test_agent_killed_under_its_runs(run_site):
-    """The tasks of a killed agent must be run again, and never beside their former run."""
+    """The tasks of a killed agent must run again, but not beside their former runs."""
 
     async def test(site):
         call = asyncio.create_task(serve(site, "entry-0", 1, tasks=6, run_ms=700))
