Queue runs for room at the agent, stop hanging runs, move runs off slow workers

Hanging workers held their jobs until the callers left, and a worker that turns slow kept its long tasks. Change: an agent lets a run wait up to 150 ms for room, the most urgent first; a run whose percentage stands still for 1 s is stopped; owners hear the pace of a worker and move runs that would end much sooner elsewhere; at most four starts at once, for fewer connections.

--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,11 @@
 clean:
 	rm -rf build dist
 
-# A federation of real processes on loopback; see tools/run_demo.py.
+# Real processes on loopback: a federation of the product's own, then a site of the
+# users' platform; see tools/run_demo.py and tools/run_platform_demo.py.
 run: install
 	$(BIN)/python -m tools.run_demo
+	$(BIN)/python -m tools.run_platform_demo
 
 # Cases on the size of today; writes build/bench.json.
 bench: install
--- a/turmericknot/aio/client.py
+++ b/turmericknot/aio/client.py
@@ -15,7 +15,7 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 8
 # The peer may close a connection that has been idle for longer than this.
-MAX_IDLE_S = 10.0
+MAX_IDLE_S = 60.0
 # Unacknowledged bytes end a connection after this time; a silent peer is noticed
 # by the time-out of the call.
 USER_TIMEOUT_MS = 3000
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -44,6 +44,8 @@
 SILENT_S = 1.3
 HOLD_WAIT_S = 0.25  # a lease of 1 s survives two lost renewals
 HOLD_RETRY_S = 0.1
+# Connections to the worker cost a handshake each; a start takes about a millisecond.
+MAX_STARTS_AT_ONCE = 4
 NOTE_WAIT_S = 0.05  # longest pause of looks for ends that wait for their owner
 RETRY_S = 0.3
 WATCH_S = 8.0
@@ -82,6 +84,7 @@
         "_orders",
         "_look",
         "_noted",
+        "_starting",
     )
 
     def __init__(self, settings):
@@ -107,6 +110,7 @@
         self._orders = set()  # calls to the worker under way
         self._look = asyncio.Event()
         self._noted = asyncio.Event()
+        self._starting = asyncio.Semaphore(MAX_STARTS_AT_ONCE)
 
     def failed(self, name):
         """End the process: one of its tasks has failed."""
@@ -195,7 +199,8 @@
 
     async def _start(self, call):
         try:
-            await self._worker.start(call)
+            async with self._starting:
+                await self._worker.start(call)
         except WorkerRefused as error:
             self._log.info("start.refused", job=call.name.job, reason=error.reason)
             if error.reason == "fence" and call.fence >= self._runs.fence:
@@ -363,6 +368,7 @@
         self._links.send(link.stream, wire.GrantRequest(link.sequence))
 
     async def _request_grants(self):
+        progress_at = 0.0
         while True:
             await asyncio.sleep(GRANT_INTERVAL_S)
             now = steady_time()
@@ -377,12 +383,18 @@
                     continue
                 self._request_grant(link, now)
             decisions.check_grants(self._runs, now)
+            if now >= progress_at:
+                decisions.report_progress(self._runs, now)
+                progress_at = now + decisions.PROGRESS_INTERVAL_S
             self._carry_out()
 
     async def _report_room(self):
         """Tell each entry what the runs of the others use, when that changes."""
         while True:
             await asyncio.sleep(ROOM_REPORT_INTERVAL_S)
+            if self._runs.life is not None:
+                decisions.start_queued(self._runs, steady_time())
+                self._carry_out()
             for link in self._entries.values():
                 if link.stream is None:
                     continue
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -230,6 +230,8 @@
                 runs.inventory(
                     owner, agent, message.shard, message.epoch, message.runs, now
                 )
+            case wire.RunsProgress():
+                runs.progress_reported(owner, agent, message, now)
             case wire.RoomReport():
                 runs.room_reported(owner, agent, message)
             case wire.WorkerChanged():
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -23,6 +23,7 @@
     LAPSED = 3  # the lease of the worker expired
     LOST = 4  # the worker restarted, or the agent was given up
     OTHER = 5  # another member of its gang ended, or never came
+    STUCK = 6  # stopped by the agent: it made no progress
 
 
 class StepSpec(msgspec.Struct, array_like=True, frozen=True):
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -23,6 +23,11 @@
 
 # Jobs without room that are passed over in search of a smaller one.
 MAX_PASSED_OVER = 8
+# A worker is slow below this share of the expected speed.
+SLOW_PACE = 0.4
+# A run is moved when it would take this many times as long where it is.
+MOVE_GAIN = 1.5
+MAX_MOVES = 2  # of one task
 AGENT_KEY = "agent/"  # before the id of an agent, among the keys of a shard
 
 
@@ -97,6 +102,9 @@
         spec.memory,
         spec.accelerators,
         job.record.spec,
+        job.record.priority,
+        max(0.0, job.due_at - now),
+        owner.run_times.expect(job.record.queue, spec),
     )
     starts.setdefault((agent.id, shard.number), []).append(run)
     owner.count("started")
@@ -281,6 +289,9 @@
         task.avoid = (*task.avoid, view.id)
         if workers.observe_failure(view, task.job.id, now):
             log(owner, "worker.suspended", agent=view.id, seconds=view.suspend_s)
+    if how is RunEnd.STUCK:
+        task.avoid = (*task.avoid, view.id)
+        workers.observe_stuck(view, now)
     if is_present:
         run_over(owner, view, task, how, now)
     elif how is RunEnd.FAILED:
@@ -382,6 +393,51 @@
         run_over(owner, view, task, RunEnd.LOST, now)
 
 
+def progress_reported(owner, agent_id, report, now):
+    """Move runs off a slow worker when another one would end them much sooner.
+
+    Answers workers that have become several times too slow under long tasks: a run
+    is stopped, and started elsewhere when its end is reported.
+    """
+    shard = owner.shards.get(report.shard)
+    view = owner.agents.get(agent_id)
+    if shard is None or view is None:
+        return
+    workers.observe_pace(view, report.pace)
+    if not 0 < report.pace < SLOW_PACE:
+        return
+    for row in report.runs:
+        task = _find_task(shard, row.name)
+        if task is None or task.run != row.name.run or task.agent != agent_id:
+            continue
+        if task.status is not TaskStatus.RUNNING or len(task.avoid) >= MAX_MOVES:
+            continue
+        elapsed = now - task.started_at
+        left = elapsed * (100 - row.percent) / max(row.percent, 1)
+        # What is left here, at the expected speed, plus all that is done again.
+        elsewhere = report.pace * (elapsed + left)
+        if left < MOVE_GAIN * elsewhere or not _has_better(owner, task, view, now):
+            continue
+        task.avoid = (*task.avoid, agent_id)
+        log(
+            owner,
+            "run.moved",
+            job=task.job.id,
+            task=f"{task.step}.{task.index}",
+            agent=agent_id,
+            pace=round(report.pace, 2),
+            left=round(left, 2),
+        )
+        stop_run(owner, task, now)
+
+
+def _has_better(owner, task, view, now):
+    """Return whether a worker that is not slow has room for the task."""
+    others = [agent for agent in owner.agents.values() if agent is not view]
+    agent = workers.choose_agent(others, task, now)
+    return agent is not None and agent.speed < view.speed / MOVE_GAIN
+
+
 def room_reported(owner, agent_id, report):
     """Take what runs of other owners use on a worker."""
     view = owner.agents.get(agent_id)
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -12,7 +12,9 @@
     EndedRun,
     RefusedRun,
     RunName,
+    RunProgress,
     RunsEnded,
+    RunsProgress,
     RunsRefused,
     ShardInventory,
     WorkerReport,
@@ -29,6 +31,19 @@
 STOP_LEAD_S = 0.3
 # An owner whose grant ended this long ago is forgotten.
 FORGET_S = 3.0
+# A run without room waits this long for the end of another one. Owners know the
+# room of a worker with a delay of about 50 ms, so several may fill it at once.
+QUEUE_S = 0.15
+MAX_QUEUED = 16
+# A run whose percentage does not change for this long stands still. A run of the
+# longest tail on a worker several times too slow needs 0.7 s for one percent.
+STUCK_S = 1.0
+# A run is reported when it takes this many times as long as expected.
+OVERDUE_FACTOR = 1.3
+PROGRESS_INTERVAL_S = 0.4
+# Runs that have gone at least this far tell the pace of the worker.
+PACE_MIN_PERCENT = 3
+PACE_MIN_RUNS = 2
 
 
 @dataclass(slots=True)
@@ -80,6 +95,13 @@
     confirmed_at: float = 0.0
     is_doubtful: bool = False  # the answer to its start was lost
     is_stopping: bool = False
+    order: object = None  # the RunStart while the run waits for room
+    queued_at: float = 0.0
+    due_at: float = 0.0
+    expected: float = 0.0  # seconds
+    percent: int = 0
+    progressed_at: float = 0.0  # when the percentage last changed
+    is_stuck: bool = False
 
 
 @dataclass(slots=True)
@@ -337,7 +359,7 @@
         if now < known.expires_at - STOP_LEAD_S or not known.expires_at:
             continue
         for run in state.runs.values():
-            if run.shard == number and not run.is_stopping:
+            if run.shard == number and not run.is_stopping and run.order is None:
                 _log(state, "run.grant_ends", job=run.name.job, shard=number)
                 _stop(state, run)
         known.is_lapsed = lease_over and now >= known.expires_at
@@ -376,7 +398,7 @@
 
 def _holding_shards(state):
     """Return the shards with runs or with ends that are not noted."""
-    held = {run.shard for run in state.runs.values()}
+    held = {run.shard for run in state.runs.values() if run.order is None}
     # Ends of jobs that are not kept need no lease: nobody asks for them twice.
     for shard, _ in state.ends.values():
         if shard < state.shard_count:
@@ -397,22 +419,63 @@
         if name in state.runs:
             continue
         run = Run(name, order.shard, start.cpu, start.memory, start.accelerators)
-        run.fence = state.fence
+        run.order = start
+        run.queued_at = now
+        run.due_at = now + start.due_in
+        run.expected = start.expected
         state.runs[name] = run
-        deadline_ms = lease_deadline_ms(state, now)
-        if deadline_ms is None:
-            del state.runs[name]
-            refused.append(RefusedRun(name, "no_lease"))
-            continue
-        state.commands.append(
-            StartCall(name, start.spec, state.fence, deadline_ms, state.life)
-        )
     if refused:
         message = RunsRefused(order.shard, refused)
         state.commands.append(SendToOwner(stream, message))
+    start_queued(state, now)
     return bool(refused)
 
 
+def start_queued(state, now):
+    """Start the runs that wait for room, the most urgent first.
+
+    Answers a worker that several owners fill at the same moment: room that becomes
+    free is used at once, and by the most urgent run.
+    """
+    queued = [run for run in state.runs.values() if run.order is not None]
+    queued.sort(key=lambda run: (run.order.priority, run.due_at))
+    for run in queued:
+        known = state.shards.get(run.shard)
+        if known is None or now >= known.expires_at - STOP_LEAD_S:
+            start_refused(state, run.name, "no_grant")
+        elif not state.life.usable or state.is_leaving:
+            start_refused(state, run.name, "no_worker")
+        elif _has_room(state, run):
+            _call_start(state, run, now)
+        elif now - run.queued_at > QUEUE_S:
+            start_refused(state, run.name, "room")
+
+
+def _has_room(state, run):
+    cpu, memory, accelerators = run.cpu, run.memory, run.accelerators
+    for other in state.runs.values():
+        if other.order is None:
+            cpu += other.cpu
+            memory += other.memory
+            accelerators += other.accelerators
+    life = state.life
+    return (
+        cpu <= life.cpu and memory <= life.memory and accelerators <= life.accelerators
+    )
+
+
+def _call_start(state, run, now):
+    spec, run.order = run.order.spec, None
+    run.fence = state.fence
+    deadline_ms = lease_deadline_ms(state, now)
+    if deadline_ms is None:
+        start_refused(state, run.name, "no_lease")
+        return
+    state.commands.append(
+        StartCall(run.name, spec, state.fence, deadline_ms, state.life)
+    )
+
+
 def _refusal(state, known, stream, order, start, now):
     """Return why a run cannot start here, or an empty string."""
     if known is None or known.epoch != order.epoch or known.stream != stream:
@@ -422,11 +485,8 @@
     life = state.life
     if life is None or life.key != order.life or not life.usable or state.is_leaving:
         return "no_worker"
-    used_cpu = sum(run.cpu for run in state.runs.values())
-    used_memory = sum(run.memory for run in state.runs.values())
-    if used_cpu + start.cpu > life.cpu or used_memory + start.memory > life.memory:
-        return "room"
-    return ""
+    queued = sum(1 for run in state.runs.values() if run.order is not None)
+    return "room" if queued >= MAX_QUEUED else ""
 
 
 def start_confirmed(state, name, now):
@@ -435,6 +495,7 @@
     if run is not None and not run.is_confirmed:
         run.is_confirmed = True
         run.confirmed_at = now
+        run.progressed_at = now
 
 
 def start_refused(state, name, reason):
@@ -463,6 +524,10 @@
         return
     for name in order.runs:
         run = state.runs.get(name)
+        if run is not None and run.order is not None:
+            del state.runs[name]
+            _report_end(state, order.shard, EndedRun(name, 0, RunEnd.STOPPED))
+            continue
         if run is not None:
             _stop(state, run)
             continue
@@ -506,6 +571,7 @@
         if row.name not in state.runs:
             _take_unknown_run(state, row.name, now)
         start_confirmed(state, row.name, now)
+        _check_progress(state, state.runs[row.name], row.percent, now)
     for row in result.ended:
         _take_end(state, row, now)
     for name, run in list(state.runs.items()):
@@ -513,6 +579,7 @@
             _check_absent(state, run, call)
     if not state.is_synced and not present:
         _synced(state)
+    start_queued(state, now)
 
 
 def _synced(state):
@@ -535,6 +602,49 @@
     _stop(state, run)
 
 
+def _check_progress(state, run, percent, now):
+    """Stop a run that stands still: its worker would never end it.
+
+    Answers workers on which tasks hang while their reports are good.
+    """
+    if percent != run.percent:
+        run.percent = percent
+        run.progressed_at = now
+    elif now - run.progressed_at > STUCK_S and not run.is_stopping and percent < 100:
+        run.is_stuck = True
+        _log(state, "run.stuck", job=run.name.job, percent=percent)
+        _stop(state, run)
+
+
+def worker_pace(state, now):
+    """Return the speed of the worker over the expected one, or 0 if unknown.
+
+    It is the median over the runs: a task that is long by itself says nothing.
+    """
+    paces = []
+    for run in state.runs.values():
+        elapsed = now - run.confirmed_at
+        if run.is_confirmed and run.percent >= PACE_MIN_PERCENT and elapsed > 0:
+            paces.append(run.expected * run.percent / 100 / elapsed)
+    if len(paces) < PACE_MIN_RUNS:
+        return 0.0
+    return sorted(paces)[len(paces) // 2]
+
+
+def report_progress(state, now):
+    """Tell owners of runs that take longer than expected."""
+    pace = worker_pace(state, now)
+    overdue = {}
+    for run in state.runs.values():
+        if not run.is_confirmed or run.is_stopping or not run.expected:
+            continue
+        if now - run.confirmed_at > OVERDUE_FACTOR * run.expected:
+            rows = overdue.setdefault(run.shard, [])
+            rows.append(RunProgress(run.name, run.percent))
+    for shard, rows in overdue.items():
+        _send(state, shard, RunsProgress(shard, pace, rows))
+
+
 def _take_end(state, row, now):
     if row.number <= state.highest_end:
         return
@@ -543,7 +653,10 @@
     run_ms = 0.0
     if run is not None and run.confirmed_at:
         run_ms = (now - run.confirmed_at) * 1000
-    end = EndedRun(row.name, row.number, row.how, run_ms)
+    how = row.how
+    if run is not None and run.is_stuck and how is RunEnd.STOPPED:
+        how = RunEnd.STUCK
+    end = EndedRun(row.name, row.number, how, run_ms)
     shard = run.shard if run is not None else _shard(state, row.name.job)
     state.ends[row.number] = (shard, end)
     _report_end(state, shard, end)
@@ -555,7 +668,7 @@
         if call.sent_at > run.confirmed_at:
             del state.runs[run.name]
             _report_end(state, run.shard, EndedRun(run.name, 0, RunEnd.LOST))
-    elif run.is_doubtful and call.fence > run.fence:
+    elif run.order is None and run.is_doubtful and call.fence > run.fence:
         start_refused(state, run.name, "answer_lost")
 
 
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -177,6 +177,25 @@
     agent.speed += SPEED_WEIGHT * (slowdown - agent.speed)
 
 
+def observe_pace(agent, pace):
+    """Take the speed of a worker that its present runs show."""
+    if pace > 0:
+        agent.speed = max(agent.speed, min(1 / pace, MAX_OBSERVED_SLOWDOWN))
+
+
+def observe_stuck(agent, now):
+    """Set a worker aside on which a run stood still.
+
+    Answers workers on which every task hangs: one of them costs a second, so the
+    pauses grow and one task at a time tries the worker again.
+    """
+    if now < agent.suspended_until:
+        return
+    agent.suspended_until = now + agent.suspend_s
+    agent.suspend_s = min(2 * agent.suspend_s, SUSPEND_LIMIT_S)
+    agent.probing = True
+
+
 def observe_failure(agent, job_id, now):
     """Learn from a failed run; return whether the worker is set aside by it.
 
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -75,6 +75,9 @@
     memory: int
     accelerators: int
     spec: str
+    priority: int = 0  # 0 is started first
+    due_in: float = 0.0  # seconds until the job should be answered
+    expected: float = 0.0  # seconds that the run should take
 
 
 class StartRuns(Message, tag=64):
@@ -160,6 +163,25 @@
     accelerators: int
 
 
+class RunProgress(msgspec.Struct, array_like=True, frozen=True):
+    """How far a run has come that takes longer than expected."""
+
+    name: RunName
+    percent: int
+
+
+class RunsProgress(Message, tag=79):
+    """Report runs that take longer than expected.
+
+    ``pace`` is the speed of the worker over the expected one, as most of its runs
+    show it; 0 when too few of them tell.
+    """
+
+    shard: int
+    pace: float
+    runs: list[RunProgress]
+
+
 class PeerGreeting(Message, tag=70):
     """Introduce an entry to the owner of a shard."""
 
@@ -241,4 +263,5 @@
     | PeerProbe
     | PeerStatus
     | RoomReport
+    | RunsProgress
 )
