Let urgent tasks wait at a full worker

An owner cannot know of the urgent work of the others; the agent can. Change: tasks of priority 0 may overfill a worker by a fifth and wait at its agent.

--- /dev/null
+++ b/tests/scheduling/test_placement.py
@@ -0,0 +1,127 @@
+"""The choice of a worker and the admission of a job, free of messages."""
+
+import pytest
+
+from turmericknot.scheduling import admission, workers
+from turmericknot.scheduling.estimates import create_run_times
+from turmericknot.scheduling.jobs import StepSpec, create_job
+from turmericknot.wire.shard_messages import WorkerReport
+
+from .site import record
+
+NOW = 100.0
+
+
+def create_view(name, cpu=4000, service="s", labels=("a", "r1-1")):
+    view = workers.AgentView(name)
+    view.worker = WorkerReport("l", service, True, cpu, 32768, 0, list(labels))
+    view.is_connected = True
+    view.last_request_at = NOW
+    return view
+
+
+def create_task(priority=1, **step):
+    spec = StepSpec(count=2, **{"cpu": 1000, "memory": 64, **step})
+    job = create_job("j", 0, record(steps=[spec], priority=priority), NOW)
+    return job.tasks[0][0]
+
+
+def choose(views, task):
+    chosen = workers.choose_agent(views, task, NOW)
+    return chosen and chosen.id
+
+
+def test_only_workers_of_the_service():
+    """A task on a worker of another service breaks its queue's route."""
+    assert choose([create_view("a", service="t")], create_task()) is None
+
+
+def test_only_workers_with_the_label():
+    """A task that requires a label must wait for it."""
+    views = [create_view("a"), create_view("b", labels=("b",))]
+    assert choose(views, create_task(required_label="b")) == "b"
+    assert choose(views[:1], create_task(required_label="b")) is None
+
+
+def test_no_more_tasks_of_a_step_on_a_worker_than_allowed():
+    """A step may ask to be spread."""
+    views = [create_view("a")]
+    task = create_task(max_per_worker=1)
+    workers.occupy(views[0], task.job.tasks[0][1])
+    assert choose(views, task) is None
+
+
+def test_rack_of_the_data_is_preferred():
+    """Away from its data a task takes several times as long."""
+    views = [create_view("a"), create_view("b", labels=("a", "r2-1"))]
+    assert choose(views, create_task(data_rack="r2-1")) == "b"
+
+
+def test_slow_worker_comes_last():
+    """A worker that has become slow must not get work while others have room."""
+    views = [create_view("a"), create_view("b")]
+    workers.observe_pace(views[0], 0.2)
+    workers.occupy(views[1], create_task())
+    assert choose(views, create_task()) == "b"
+
+
+def test_room_that_others_use_is_not_room():
+    """Several entries share the worker."""
+    view = create_view("a", cpu=2000)
+    view.foreign_cpu = 1500
+    assert choose([view], create_task()) is None
+
+
+def test_urgent_task_waits_at_a_full_worker():
+    """At the crest, urgent work must get the next room, whoever else waits."""
+    view = create_view("a", cpu=6000)
+    view.foreign_cpu = 6000
+    assert choose([view], create_task(priority=1)) is None
+    assert choose([view], create_task(priority=0)) == "a"
+    free = create_view("b", cpu=6000)
+    free.foreign_cpu = 4000
+    assert choose([view, free], create_task(priority=0)) == "b"
+
+
+def test_worker_that_fails_everything_is_set_aside():
+    """Failures of several jobs in a row are the worker's; of one job, the job's."""
+    view = create_view("a")
+    for _ in range(6):
+        assert not workers.observe_failure(view, "poison", NOW)
+    assert workers.observe_failure(view, "other", NOW)
+    assert not workers.is_usable(view, NOW)
+    later = NOW + workers.SUSPEND_FIRST_S
+    view.last_request_at = later
+    assert workers.is_usable(view, later)
+    workers.occupy(view, create_task())
+    assert not workers.is_usable(view, later)  # one task at a time tries it
+    workers.observe_success(view, 1.0)
+    assert workers.is_usable(view, later)
+
+
+@pytest.mark.parametrize(("waiting", "refused"), [(0.0, False), (1000.0, True)])
+def test_job_that_comes_too_late_is_refused_at_once(waiting, refused):
+    """A caller must not wait for an answer that comes too late to be of use."""
+    backlog = admission.Backlog()
+    backlog.add(0, waiting)
+    delay = admission.refusal_delay(backlog, create_run_times(), record(), 100.0)
+    assert bool(delay) == refused
+    assert delay <= admission.RETRY_MAX_S
+
+
+def test_work_of_lower_priority_does_not_count():
+    """Urgent jobs are served first, so they do not wait for the others."""
+    backlog = admission.Backlog()
+    backlog.add(2, 1e6)
+    times = create_run_times()
+    assert admission.refusal_delay(backlog, times, record(priority=1), 100.0) == 0
+    assert admission.refusal_delay(backlog, times, record(priority=2), 100.0) > 0
+
+
+def test_declared_run_times_are_corrected():
+    """Declared estimates are often far off."""
+    times = create_run_times()
+    spec = StepSpec(count=1, estimate=0.1)
+    for _ in range(200):
+        times.observe("q", spec, 0.2)
+    assert times.expect("q", spec) == pytest.approx(0.2, rel=0.1)
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -45,7 +45,7 @@
 HOLD_WAIT_S = 0.25  # a lease of 1 s survives two lost renewals
 HOLD_RETRY_S = 0.1
 # Connections to the worker cost a handshake each; a start takes about a millisecond.
-MAX_STARTS_AT_ONCE = 4
+MAX_STARTS_AT_ONCE = 8
 NOTE_WAIT_S = 0.05  # longest pause of looks for ends that wait for their owner
 RETRY_S = 0.3
 WATCH_S = 8.0
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -11,6 +11,9 @@
 FAILURES_TO_SUSPEND = 4
 SUSPEND_FIRST_S = 1.0
 SUSPEND_LIMIT_S = 8.0
+# Share of a worker's processors that urgent tasks may fill beyond its room. Tasks of
+# a third of a second on ten slots end every 30 ms, so two that wait begin in 60 ms.
+URGENT_AHEAD = 0.2
 # An agent that refused a run gets no new ones for this long.
 REST_S = 0.05
 # An agent that has not asked for a grant for this long gets no new runs.
@@ -86,14 +89,18 @@
     )
 
 
-def fits(agent, spec):
-    """Return whether the worker has room for one more task of this shape."""
+def fits(agent, spec, ahead=0.0):
+    """Return whether the worker has room for one more task of this shape.
+
+    ``ahead`` is the share of its processors by which it may be overfilled: what has
+    no room waits at the agent.
+    """
     worker = agent.worker
     used_cpu = agent.used_cpu + agent.foreign_cpu
     used_memory = agent.used_memory + agent.foreign_memory
     used_accelerators = agent.used_accelerators + agent.foreign_accelerators
     return (
-        used_cpu + spec.cpu <= worker.cpu
+        used_cpu + spec.cpu <= worker.cpu * (1 + ahead)
         and used_memory + spec.memory <= worker.memory
         and used_accelerators + spec.accelerators <= worker.accelerators
     )
@@ -114,12 +121,15 @@
 
     Answers the load of many short tasks on workers of unequal speed: the fastest
     class of workers first, and the emptiest of them, so that the loss of one
-    worker hits few tasks of a job.
+    worker hits few tasks of a job. At the crest of a load, when no worker has room,
+    the most urgent tasks wait at an agent, where they get the next room before less
+    urgent tasks of any entry.
     """
     spec = task.spec
+    ahead = URGENT_AHEAD if task.job.record.priority == 0 else 0.0
     best = best_score = None
     for agent in agents:
-        if not is_usable(agent, now) or not fits(agent, spec):
+        if not is_usable(agent, now) or not fits(agent, spec, ahead):
             continue
         worker = agent.worker
         if worker.service != task.job.record.service:
@@ -129,6 +139,7 @@
         if spec.max_per_worker and not _below_limit(agent, task, spec.max_per_worker):
             continue
         score = (
+            ahead and not fits(agent, spec),
             agent.id in task.avoid,
             bool(spec.data_rack) and spec.data_rack not in worker.labels,
             round(agent.speed / SPEED_STEP),
