Serve jobs that will be late after those that can be in time

Change: within a priority, jobs that cannot meet their objective any more come last, at owners and at agents; a run is moved only for a gain of 0.3 s or more.

--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -5,6 +5,7 @@
 from turmericknot.scheduling import admission, workers
 from turmericknot.scheduling.estimates import create_run_times
 from turmericknot.scheduling.jobs import StepSpec, create_job
+from turmericknot.scheduling.waiting import create_waiting_jobs
 from turmericknot.wire.shard_messages import WorkerReport
 
 from .site import record
@@ -125,3 +126,48 @@
     for _ in range(200):
         times.observe("q", spec, 0.2)
     assert times.expect("q", spec) == pytest.approx(0.2, rel=0.1)
+
+
+def waiting_job(name, due_at, priority=1):
+    job = create_job(name, 0, record(tasks=1, priority=priority), NOW)
+    job.is_stored = True
+    job.due_at = due_at
+    return job
+
+
+def test_jobs_that_will_be_late_come_after_those_in_time():
+    """In the order of due times an overload makes every job late, not some."""
+    waiting = create_waiting_jobs()
+    jobs = [waiting_job(f"j{n}", NOW + n) for n in range(3)]
+    urgent = waiting_job("u", NOW + 9, priority=0)
+    for job in (*jobs, urgent):
+        waiting.add(job.tasks[0][0])
+    waiting.put_back(jobs[0])
+    assert [job.id for job in waiting.jobs()] == ["u", "j1", "j2", "j0"]
+    assert waiting.is_late(jobs[0])
+    waiting.remove(jobs[0].tasks[0][0])
+    waiting.add(jobs[0].tasks[0][0])  # a run of it has failed
+    assert [job.id for job in waiting.jobs()] == ["u", "j1", "j2", "j0"]
+
+
+def test_overload_serves_some_callers_in_time(create_site):
+    """Replays a burst of twice the room: half of the jobs must be in time."""
+    site = create_site(agents=1, cpu=1000)
+    entry = site.entries["entry-0"]
+    agent = site.agents["agent-0"]
+    served = {}
+    began = {}
+    for tick in range(400):
+        if tick % 5 == 0 and tick < 200:
+            name = f"{tick:016x}"
+            began[name] = site.now
+            job_record = record(tasks=1, estimate=0.5, objective=0.2)
+            entry.hand_in(name, site.now, name, job_record, wait=60.0)
+        for run, since in list(agent.worker.running.items()):
+            if site.now - since >= 0.5:
+                agent.worker.end(run)
+        site.advance(0.05)
+        for waiter, _ in entry.answers:
+            served.setdefault(waiter, site.now)
+    in_time = [name for name in served if served[name] - began[name] <= 1.15]
+    assert len(in_time) >= 0.4 * len(began)
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -265,6 +265,7 @@
 def _finished(owner, job, now):
     """Show the end of a job, and stop and note what is left of it."""
     job.shown = job.state
+    owner.waiting.forget(job)
     owner.count("finished_" + job.state.name.lower())
     log(
         owner,
@@ -345,6 +346,16 @@
     owner.backlog.add(task.job.record.priority, -expected_work(owner, task))
 
 
+def put_back_late(owner, now):
+    """Put back the waiting jobs that can no longer be in time."""
+    for job in owner.waiting.jobs():
+        if owner.waiting.is_late(job):
+            continue
+        durations = admission.expected_durations(owner.run_times, job.record)
+        if now + min(durations) > job.due_at:
+            owner.waiting.put_back(job)
+
+
 def drop_waiting(owner, job):
     """Take all tasks of a job out of the list."""
     for task in list(owner.waiting.tasks(job)):
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -93,6 +93,7 @@
 
 def _forget_job(owner, job):
     drop_waiting(owner, job)
+    owner.waiting.forget(job)
     for task in job.running_tasks():
         view = owner.agents.get(task.agent)
         if view is not None:
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -11,6 +11,7 @@
     finish_job,
     granted_shards,
     log,
+    put_back_late,
     record_progress,
     release_steps,
     send_notes,
@@ -27,7 +28,10 @@
 SLOW_PACE = 0.4
 # A run is moved when it would take this many times as long where it is.
 MOVE_GAIN = 1.5
+MOVE_MIN_GAIN_S = 0.3  # on top, for the stop and the way to another worker
 MAX_MOVES = 2  # of one task
+# At an agent, jobs that will be late come after all others of their priority.
+LATE_BEHIND_S = 3600.0
 AGENT_KEY = "agent/"  # before the id of an agent, among the keys of a shard
 
 
@@ -103,7 +107,7 @@
         spec.accelerators,
         job.record.spec,
         job.record.priority,
-        max(0.0, job.due_at - now),
+        job.due_at - now + (LATE_BEHIND_S if owner.waiting.is_late(job) else 0.0),
         owner.run_times.expect(job.record.queue, spec),
     )
     starts.setdefault((agent.id, shard.number), []).append(run)
@@ -416,7 +420,9 @@
         left = elapsed * (100 - row.percent) / max(row.percent, 1)
         # What is left here, at the expected speed, plus all that is done again.
         elsewhere = report.pace * (elapsed + left)
-        if left < MOVE_GAIN * elsewhere or not _has_better(owner, task, view, now):
+        if left < MOVE_GAIN * elsewhere + MOVE_MIN_GAIN_S or not _has_better(
+            owner, task, view, now
+        ):
             continue
         task.avoid = (*task.avoid, agent_id)
         log(
@@ -463,6 +469,7 @@
         _store_progress(owner, shard, now)
         _drop_old(owner, shard, now)
     _repeat_stops(owner, now)
+    put_back_late(owner, now)
     schedule(owner, now)
 
 
