Refuse hopeless jobs at once; bound the log; serve metrics

A job that cannot be served has to be refused when that is known. The log had no budget and could block on a full pipe; there were no metrics. A log line said 'lost' of runs that an agent had refused for want of room. Change: a job that has not begun is refused as soon as its end would come later than three objectives or the caller's deadline, and at once when it could not end in time.

--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -221,3 +221,28 @@
     runs.progress_reported(entry.owner, agent, report, site.now)
     site.advance(0.2)
     assert (agent, name) in site.running()
+
+
+def test_hopeless_job_is_refused_before_its_deadline(create_site):
+    """A caller must not wait until its deadline for a job that cannot be served."""
+    site = create_site(agents=1, cpu=1000)
+    entry = site.entries["entry-0"]
+    long_record = record(tasks=1, estimate=9.0, priority=0)
+    entry.hand_in("holder", site.now, "00000000000000b1", long_record, wait=60.0)
+    site.settle()
+    handed_in_at = site.now
+    entry.hand_in("caller", site.now, wait=30.0, job_record=record(priority=1))
+    while not entry.answers:
+        site.advance(0.1)
+        assert site.now - handed_in_at < 2
+    assert entry.answers == [("caller", Outcome.REFUSED)]
+    assert [name.job for _, name in site.running(JOB)] == []
+
+
+def test_job_longer_than_its_caller_waits_is_refused_at_once(site):
+    """A job that cannot end in time must not take room from others."""
+    entry = site.entries["entry-0"]
+    long_record = record(tasks=1, estimate=9.0)
+    entry.hand_in("caller", site.now, wait=3.0, job_record=long_record)
+    site.settle()
+    assert entry.answers == [("caller", Outcome.REFUSED)]
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -22,7 +22,6 @@
     reporting_worker,
 )
 from turmericknot.scheduling import worker_runs as decisions
-from turmericknot.scheduling.owner import OwnerTimes
 from turmericknot.scheduling.worker_runs import (
     LogRun,
     SendToOwner,
@@ -36,6 +35,7 @@
 
 from .clock import steady_time
 from .constants import REDIAL_LIMIT_S, SHARD_COUNT
+from .metrics import start_metrics
 from .tasks import start_task
 
 GRANT_INTERVAL_S = 0.25
@@ -93,7 +93,7 @@
         self._boot = incarnation("", random.SystemRandom()).strip("#")
         self._runs = create_worker_runs(
             SHARD_COUNT,
-            OwnerTimes().grant,
+            decisions.GRANT_S,
             settings.bounds.lease_ms / 1000,
             steady_time(),
         )
@@ -126,6 +126,7 @@
         await self._links.attach()
         server = create_http_server(self._handle_report)
         await server.start(self._settings.reports_address)
+        await start_metrics(self._settings.metrics_address, self._read_metrics)
         self._log.info("agent.started", boot=self._boot)
         start_task(self._hold(), "hold", self.failed)
         start_task(self._find_entries(), "entries", self.failed)
@@ -137,6 +138,18 @@
         await self._drain()
         return 0
 
+    def _read_metrics(self):
+        runs = self._runs
+        connected = [link for link in self._entries.values() if link.stream]
+        gauges = {
+            "runs": len(runs.runs),
+            "ends_not_noted": len(runs.ends),
+            "entries_connected": len(connected),
+            "worker_present": int(runs.life is not None),
+            "runs_known": int(runs.is_synced),
+        }
+        return {"runs_ended": runs.highest_end}, gauges
+
     async def _drain(self):
         """Start nothing new and leave when the runs have ended."""
         self._log.info("agent.stopping", runs=len(self._runs.runs))
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -16,7 +16,7 @@
 from turmericknot.core.ids import incarnation, shard_of
 from turmericknot.platform import jobs as platform_jobs
 from turmericknot.platform.store import ENTRIES_TOPIC, KeyedRecord, create_store
-from turmericknot.scheduling import besteffort, owner as decisions, runs
+from turmericknot.scheduling import besteffort, owner as decisions, runs, workers
 from turmericknot.scheduling.commands import (
     AnswerRequest,
     LogDecision,
@@ -32,6 +32,7 @@
 from .clock import steady_time
 from .constants import REDIAL_LIMIT_S, SHARD_COUNT
 from .membership import create_membership
+from .metrics import start_metrics
 from .operator import follow_configuration
 from .peers import PROBE_INTERVAL_S, create_peers, member_name
 from .requests import RemoteWaiter, answer_waiter, create_requests
@@ -377,6 +378,7 @@
         await self.links.attach()
         await server.start(self.settings.jobs_address)
         await ready.start(self.settings.ready_address)
+        await start_metrics(self.settings.metrics_address, self._read_metrics)
         self.log.info("entry.started", member=self.member)
         following = follow_configuration(
             self.store, lambda configuration: self.configure(configuration, server)
@@ -392,6 +394,23 @@
         await self._drain(server, joining)
         return 0
 
+    def _read_metrics(self):
+        owner, now = self.owner, steady_time()
+        stored = [shard for shard in owner.shards.values() if shard.is_kept]
+        version = self.configuration.version if self.configuration else -1
+        usable = [v for v in owner.agents.values() if workers.is_usable(v, now)]
+        gauges = {
+            "jobs_not_kept": len(self._unkept.jobs),
+            "jobs_stored": sum(len(shard.jobs) for shard in stored),
+            "shards_owned": len(stored),
+            "jobs_waiting": len(owner.waiting),
+            "agents_connected": len(self._agent_streams),
+            "agents_usable": len(usable),
+            "configuration_version": version,
+            "store_reachable": int(self.membership.is_joined),
+        }
+        return owner.counts, gauges
+
     def _note_reload(self):
         # Every setting is an address or a bound that holds as long as the process.
         self.log.info("settings.reload_ignored", reason="nothing can change")
--- a/turmericknot/platform/settings.py
+++ b/turmericknot/platform/settings.py
@@ -58,6 +58,11 @@
     worker_address: str = ""
     service: str = ""
 
+    @property
+    def metrics_address(self):
+        """Return where this process serves its metrics."""
+        return f"{self.address}:{self.metrics_port}"
+
     @property
     def link_address(self):
         """Return where this process listens for links of other processes."""
--- a/turmericknot/scheduling/admission.py
+++ b/turmericknot/scheduling/admission.py
@@ -1,5 +1,7 @@
 """Whether a job is worth accepting, from the work that waits before it."""
 
+import math
+
 from .jobs import longest_chain
 
 # A job answered after this many times its objective is of no use to its caller.
@@ -33,22 +35,34 @@
 
 def objective_s(run_times, record):
     """Return the seconds within which the job is expected to be answered."""
-    chain = longest_chain(record.steps, expected_durations(run_times, record))
-    return record.stretch * chain + record.objective
+    return record.stretch * expected_chain(run_times, record) + record.objective
+
+
+def expected_chain(run_times, record):
+    """Return the seconds that the job takes when nothing waits."""
+    return longest_chain(record.steps, expected_durations(run_times, record))
+
+
+def retry_delay(backlog, record, cores):
+    """Return the seconds after which the present backlog should be gone."""
+    wait = backlog.before(record.priority) / cores if cores > 0 else RETRY_MIN_S
+    return min(max(wait, RETRY_MIN_S), RETRY_MAX_S)
 
 
-def refusal_delay(backlog, run_times, record, cores):
+def refusal_delay(backlog, run_times, record, cores, patience_s=math.inf):
     """Return 0 to accept the job, else the seconds after which to come back.
 
+    The caller waits for ``patience_s`` at most.
+
     Answers bursts beyond the room of the workers: a job that would miss the last
     moment at which its answer is of use is refused while the caller still has
     time, and told when the present backlog will be gone.
     """
     if cores <= 0:
         return RETRY_MIN_S
-    chain = longest_chain(record.steps, expected_durations(run_times, record))
+    chain = expected_chain(run_times, record)
     wait = backlog.before(record.priority) / cores
     objective = record.stretch * chain + record.objective
-    if wait + chain <= LATEST_OBJECTIVES * objective:
+    if wait + chain <= min(LATEST_OBJECTIVES * objective, patience_s):
         return 0.0
-    return min(max(wait, RETRY_MIN_S), RETRY_MAX_S)
+    return retry_delay(backlog, record, cores)
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -42,7 +42,7 @@
         else:
             _replace_successor(owner, former, (record, waiter, deadline_at))
         return
-    refusal = job_refusal(owner, record)
+    refusal = job_refusal(owner, record, deadline_at - now)
     if refusal is not None:
         outcome, delay, reason = refusal
         owner.count("refused_" + reason)
@@ -109,18 +109,44 @@
 
 
 def end_overdue(owner, now):
-    """Stop jobs whose callers have given up by now."""
+    """Stop jobs whose callers have given up by now, and refuse hopeless ones.
+
+    Answers a load beyond the room of the workers: a caller whose job has not begun
+    and would be answered too late learns that at once, not at its deadline.
+    """
     for shard in owner.shards.values():
         if shard.is_kept:
             continue
         for job in list(shard.jobs.values()):
             if job.state is not JobState.ACTIVE:
                 continue
-            if now < job.deadline_at - STOP_BEFORE_DEADLINE_S:
-                continue
-            log(owner, "job.overdue", job=job.id, queue=job.record.queue)
-            waiters, job.waiters = job.waiters, []
-            for waiter in waiters:
-                answer(owner, waiter, Outcome.UNDECIDED, reason="deadline")
-            finish_job(owner, job, JobState.CANCELLED, now)
-            clear_up(owner, job, now)
+            if now >= job.deadline_at - STOP_BEFORE_DEADLINE_S:
+                _end_unserved(owner, job, Outcome.UNDECIDED, "deadline", now)
+            elif not job.started and _is_hopeless(owner, job, now):
+                _end_unserved(owner, job, Outcome.REFUSED, "too_late", now)
+
+
+def _is_hopeless(owner, job, now):
+    ends_at = now + admission.expected_chain(owner.run_times, job.record)
+    objective = job.due_at - job.submitted_at
+    latest = job.submitted_at + admission.LATEST_OBJECTIVES * objective
+    return ends_at > min(latest, job.deadline_at)
+
+
+def _end_unserved(owner, job, outcome, reason, now):
+    owner.count("unserved_" + reason)
+    log(
+        owner,
+        "job.overdue",
+        job=job.id,
+        queue=job.record.queue,
+        reason=reason,
+        started=job.started,
+        waited=round(now - job.submitted_at, 3),
+    )
+    waiters, job.waiters = job.waiters, []
+    delay = admission.retry_delay(owner.backlog, job.record, owner.free_cores)
+    for waiter in waiters:
+        answer(owner, waiter, outcome, delay, reason)
+    finish_job(owner, job, JobState.CANCELLED, now)
+    clear_up(owner, job, now)
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -1,7 +1,9 @@
 """State of an entry as the owner of shards, and requests about their jobs."""
 
+import math
 from dataclasses import dataclass, field
 
+from turmericknot.utils import histograms
 from turmericknot.wire.shard_messages import NoteEnds, RunName, ShardEpoch, StopRuns
 
 from . import admission, workers
@@ -16,6 +18,7 @@
     encode_record,
 )
 from .waiting import create_waiting_jobs
+from .worker_runs import GRANT_S
 
 # Runs of a later owner are numbered above those of an earlier one.
 RUNS_PER_EPOCH = 1000
@@ -40,7 +43,7 @@
     ``note_after``: ends of unfinished jobs are stored after this time.
     """
 
-    grant: float = 1.1
+    grant: float = GRANT_S
     grant_margin: float = 0.15
     blind: float = 6.0
     certain: float = 1.4
@@ -100,6 +103,16 @@
         self.counts = {}
         self.paused_until = 0.0  # nothing starts before this time
 
+    @property
+    def free_cores(self):
+        """Return the processors of usable workers that no other owner uses."""
+        cpu = sum(
+            agent.worker.cpu - agent.foreign_cpu
+            for agent in self.agents.values()
+            if agent.worker is not None and agent.worker.usable
+        )
+        return cpu / 1000
+
     def take_commands(self):
         """Return the commands decided since the last call."""
         commands, self.commands = self.commands, []
@@ -125,6 +138,11 @@
     owner.commands.append(AnswerRequest(waiter, outcome, retry_after, reason))
 
 
+def record_response(queue, outcome, seconds):
+    """Add the response time of a job to the histogram of its queue and outcome."""
+    histograms.record("response", queue, outcome, seconds * 1000)
+
+
 def store_job(owner, job, token):
     """Ask the shell to store the present record of a job."""
     value = encode_record(job.record)
@@ -159,7 +177,7 @@
     store_job(owner, job, (_submitted, job))
 
 
-def job_refusal(owner, record):
+def job_refusal(owner, record, patience_s=math.inf):
     """Return (outcome, delay, reason) when the job cannot be served, else None."""
     able = [
         agent
@@ -169,10 +187,9 @@
     for step in record.steps:
         if able and not any(workers.could_fit(a.worker, step) for a in able):
             return Outcome.REFUSED, admission.RETRY_MAX_S, "too_large"
-    room = sum(
-        agent.worker.cpu - agent.foreign_cpu for agent in able if agent.worker.usable
+    delay = admission.refusal_delay(
+        owner.backlog, owner.run_times, record, owner.free_cores, patience_s
     )
-    delay = admission.refusal_delay(owner.backlog, owner.run_times, record, room / 1000)
     if delay and able:
         return Outcome.REFUSED, delay, "backlog"
     return None
@@ -267,13 +284,16 @@
     job.shown = job.state
     owner.waiting.forget(job)
     owner.count("finished_" + job.state.name.lower())
+    seconds = now - job.submitted_at
+    record_response(job.record.queue, job.state.name.lower(), seconds)
     log(
         owner,
         "job.finished",
         job=job.id,
         queue=job.record.queue,
         state=job.state.name.lower(),
-        seconds=round(now - job.submitted_at, 3),
+        seconds=round(seconds, 3),
+        objective=round(job.due_at - job.submitted_at, 3),
     )
     for waiter in job.waiters:
         answer(owner, waiter, _OUTCOMES[job.state])
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -337,8 +337,11 @@
         task.status = TaskStatus.BLOCKED
 
 
-def run_over(owner, view, task, how, now):
-    """Let a task wait again whose present run has ended without result."""
+def run_over(owner, view, task, how, now, reason=""):
+    """Let a task wait again whose present run has ended without result.
+
+    ``reason`` is that of the agent when the run did not begin.
+    """
     workers.release(view, task)
     log(
         owner,
@@ -347,7 +350,8 @@
         task=f"{task.step}.{task.index}",
         run=task.run,
         agent=view.id,
-        how=how.name.lower(),
+        how="refused" if reason else how.name.lower(),
+        reason=reason,
         seconds=round(now - task.started_at, 3),
     )
     task.status = TaskStatus.BLOCKED
@@ -394,7 +398,7 @@
         if refusal.reason == "unhealthy":
             task.avoid = (*task.avoid, agent_id)
             workers.observe_failure(view, task.job.id, now)
-        run_over(owner, view, task, RunEnd.LOST, now)
+        run_over(owner, view, task, RunEnd.LOST, now, refusal.reason)
 
 
 def progress_reported(owner, agent_id, report, now):
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -22,6 +22,9 @@
 
 from .jobs import RunEnd
 
+# How long an agent acts on a grant, in seconds. The platform's clients hand a job in
+# again 1.3 s after they lost its entry; all its runs must be over by then.
+GRANT_S = 1.1
 # A lease on the worker's clock may last 2% longer in true time.
 WORKER_CLOCK_ERROR = 1.02
 # Between the end of a lease and the moment from which it is taken as over.
--- a/turmericknot/utils/logging.py
+++ b/turmericknot/utils/logging.py
@@ -23,17 +23,27 @@
     return structlog.WriteLogger(sys.stderr)
 
 
-def _print_to_stdout(*_args):
-    return structlog.WriteLogger(sys.stdout)
-
-
-def configure(level="info", to_stdout=False):
+def configure(level="info"):
     """Write events of this level and above; raise ConfigurationError otherwise."""
     if level not in LEVELS:
         allowed = ", ".join(LEVELS)
         raise ConfigurationError(f"log level {level!r} is not one of: {allowed}")
+    _configure(LEVELS[level], [], _print_to_stderr, False)
+
+
+def configure_stdout():
+    """Write to standard output within a budget, without ever waiting for a reader."""
+    # Imported here: the command line has no use for it.
+    from .log_budget import create_budget, create_stdout_writer
+
+    writer = create_stdout_writer()
+    _configure(logging.INFO, [create_budget()], lambda *_args: writer, True)
+
+
+def _configure(level, first_processors, logger_factory, cache):
     structlog.configure(
         processors=[
+            *first_processors,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
@@ -42,9 +52,9 @@
                 bool_as_flag=False,
             ),
         ],
-        wrapper_class=structlog.make_filtering_bound_logger(LEVELS[level]),
-        logger_factory=_print_to_stdout if to_stdout else _print_to_stderr,
-        cache_logger_on_first_use=to_stdout,
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=logger_factory,
+        cache_logger_on_first_use=cache,
     )
 
 
