Wait at a worker only while no other one has room; number first runs with 1

The first runs of jobs that are not kept were numbered 1001, not 1. Change: owners say how long a run may wait: 20 ms where they saw room, 150 ms where all workers were full; agents report room every 30 ms; three runs of 100 ms tell a pace.

--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -166,6 +166,7 @@
     runs.schedule(entry.owner, site.now)
     site.settle()
     ((_, again),) = site.running()
+    assert name.run == 1
     assert again.run > 1000
 
 
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -30,7 +30,7 @@
 def order(agent, now, *indices, cpu=1000, epoch=1):
     """Order runs; return the messages that go back."""
     starts = [
-        wire.RunStart("00000000000000a1", 0, index, 1, cpu, 64, 0, "x")
+        wire.RunStart("00000000000000a1", 0, index, 1, cpu, 64, 0, "x", patience=0.15)
         for index in indices
     ]
     life = agent.state.life.key
@@ -94,6 +94,17 @@
     assert {name.index for name in agent.worker.running} == {1, 2}
 
 
+def test_run_with_other_workers_in_sight_waits_briefly(agent):
+    """A run must not wait on a full worker while another one has room."""
+    order(agent, 100.0, 0, 1)
+    life = agent.state.life.key
+    start = wire.RunStart("00000000000000a1", 0, 2, 1, 1000, 64, 0, "x", patience=0.02)
+    message = wire.StartRuns(SHARD, 1, life, [start])
+    worker_runs.start_runs(agent.state, STREAM, message, 100.0)
+    worker_runs.start_queued(agent.state, 100.03)
+    assert reasons(agent.carry_out(100.03)) == ["room"]
+
+
 def test_queued_run_can_be_stopped(agent):
     """A run whose caller has left while it waited must never begin."""
     order(agent, 100.0, 0, 1, 2)
@@ -113,7 +124,7 @@
     life = agent.state.life.key
     for index, priority in ((2, 2), (3, 0)):
         start = wire.RunStart(
-            "00000000000000a1", 0, index, 1, 1000, 64, 0, "x", priority
+            "00000000000000a1", 0, index, 1, 1000, 64, 0, "x", priority, patience=0.15
         )
         message = wire.StartRuns(SHARD, 1, life, [start])
         worker_runs.start_runs(agent.state, STREAM, message, 100.0)
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -39,7 +39,7 @@
 from .tasks import start_task
 
 GRANT_INTERVAL_S = 0.25
-ROOM_REPORT_INTERVAL_S = 0.05
+ROOM_REPORT_INTERVAL_S = 0.03
 # An entry that has not answered a grant request for this long is dialled anew.
 SILENT_S = 1.3
 HOLD_WAIT_S = 0.25  # a lease of 1 s survives two lost renewals
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -60,6 +60,7 @@
 
 
 def _begin(owner, shard, job_id, record, waiter, deadline_at, now):
+    record.accepted_epoch = shard.epoch
     job = create_job(job_id, shard.number, record, now)
     job.is_stored = True  # nothing has to be waited for
     job.shown = JobState.ACTIVE
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -30,6 +30,11 @@
 MOVE_GAIN = 1.5
 MOVE_MIN_GAIN_S = 0.3  # on top, for the stop and the way to another worker
 MAX_MOVES = 2  # of one task
+# A run sent to a worker with room waits there only for the run that took it at the
+# same moment; other workers have room, too.
+PATIENCE_S = 0.02
+# A run sent to a full worker, because all are, waits for the ends of others.
+FULL_PATIENCE_S = 0.15
 # At an agent, jobs that will be late come after all others of their priority.
 LATE_BEHIND_S = 3600.0
 AGENT_KEY = "agent/"  # before the id of an agent, among the keys of a shard
@@ -95,8 +100,9 @@
     task.agent = agent.id
     task.started_at = now
     job.started = True
-    workers.occupy(agent, task)
     spec = task.spec
+    has_room = workers.fits(agent, spec)
+    workers.occupy(agent, task)
     run = RunStart(
         job.id,
         task.step,
@@ -109,6 +115,7 @@
         job.record.priority,
         job.due_at - now + (LATE_BEHIND_S if owner.waiting.is_late(job) else 0.0),
         owner.run_times.expect(job.record.queue, spec),
+        PATIENCE_S if has_room else FULL_PATIENCE_S,
     )
     starts.setdefault((agent.id, shard.number), []).append(run)
     owner.count("started")
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -34,10 +34,7 @@
 STOP_LEAD_S = 0.3
 # An owner whose grant ended this long ago is forgotten.
 FORGET_S = 3.0
-# A run without room waits this long for the end of another one. Owners know the
-# room of a worker with a delay of about 50 ms, so several may fill it at once.
-QUEUE_S = 0.15
-MAX_QUEUED = 16
+MAX_QUEUED = 16  # runs that may wait for room
 # A run whose percentage does not change for this long stands still. A run of the
 # longest tail on a worker several times too slow needs 0.7 s for one percent.
 STUCK_S = 1.0
@@ -46,7 +43,8 @@
 PROGRESS_INTERVAL_S = 0.4
 # Runs that have gone at least this far tell the pace of the worker.
 PACE_MIN_PERCENT = 3
-PACE_MIN_RUNS = 2
+PACE_MIN_RUNS = 3
+PACE_MIN_S = 0.1  # of a run: before that a percent says little
 
 
 @dataclass(slots=True)
@@ -450,7 +448,7 @@
             start_refused(state, run.name, "no_worker")
         elif _has_room(state, run):
             _call_start(state, run, now)
-        elif now - run.queued_at > QUEUE_S:
+        elif now - run.queued_at > run.order.patience:
             start_refused(state, run.name, "room")
 
 
@@ -627,7 +625,9 @@
     paces = []
     for run in state.runs.values():
         elapsed = now - run.confirmed_at
-        if run.is_confirmed and run.percent >= PACE_MIN_PERCENT and elapsed > 0:
+        if not run.is_confirmed or elapsed < PACE_MIN_S:
+            continue
+        if run.percent >= PACE_MIN_PERCENT:
             paces.append(run.expected * run.percent / 100 / elapsed)
     if len(paces) < PACE_MIN_RUNS:
         return 0.0
