--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -52,3 +52,13 @@
     index = (DOCS / "operations" / "README.md").read_text()
     missing = [failure for failure in failures if f"| {failure} |" not in index]
     assert failures and missing == []
+
+
+def test_every_log_event_is_on_the_page():
+    """Guards against a line that an on-call engineer cannot look up."""
+    events = set()
+    for package in ("node", "scheduling", "aio"):
+        for source in (ROOT / "turmericknot" / package).glob("*.py"):
+            events |= set(re.findall(r'"([a-z]+\.[a-z_]+)"', source.read_text()))
+    page = (DOCS / "reference" / "events.md").read_text()
+    assert events == set(re.findall(r"^\| `([a-z_.]+)` \|", page, re.M))
--- a/tools/run_platform_demo.py
+++ b/tools/run_platform_demo.py
@@ -69,7 +69,9 @@
         runs = sum(len(rows) for rows in site.starts.values())
         print(f"{JOBS} jobs answered, 1 stored job shown as succeeded")
         print(f"{len(site.starts)} tasks in {runs} runs")
-        print(f"response: median {times[len(times) // 2]:.2f} s, worst {times[-1]:.2f} s")
+        print(
+            f"response: median {times[len(times) // 2]:.2f} s, worst {times[-1]:.2f} s"
+        )
         for violation in site.violations:
             print(violation, file=sys.stderr)
         return 1 if site.violations else 0
--- a/turmericknot/management/registry.py
+++ b/turmericknot/management/registry.py
@@ -19,6 +19,8 @@
     "jobs",
     "status",
     "load",
+    "explain",
+    "platform",
     "version",
 )
 _PACKAGE = "turmericknot.management.commands"
