Sample workers, let a new entry learn them, forget entries that are gone

Agents dialled the addresses of entries that are gone for ever. One follower of keyed topics instead of two.

--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -1,5 +1,7 @@
 """The choice of a worker and the admission of a job, free of messages."""
 
+from random import Random
+
 import pytest
 
 from turmericknot.scheduling import admission, workers
@@ -84,6 +86,34 @@
     assert choose([view, free], create_task(priority=0)) == "b"
 
 
+def test_many_workers_are_sampled():
+    """A look at hundreds of workers for each task would not fit one processor."""
+    views = [create_view(f"w{number}", cpu=1000) for number in range(300)]
+    for view in views[:-1]:
+        view.foreign_cpu = 1000
+    chosen = workers.choose_from_many(views, create_task(), NOW, Random(5))
+    assert chosen is views[-1]  # the only one with room, though not in the sample
+    views = [create_view(f"w{number}") for number in range(300)]
+    chosen = [
+        workers.choose_from_many(views, create_task(), NOW, Random(seed)).id
+        for seed in range(20)
+    ]
+    assert len(set(chosen)) > 10
+
+
+def test_entry_that_has_just_started_does_not_refuse():
+    """It has heard of few workers yet; a refusal would be for want of news."""
+    from turmericknot.scheduling import besteffort, owner as decisions
+
+    owner = decisions.create_owner(now=NOW)
+    shard = besteffort.open_unkept_shard(owner, 1)
+    owner.backlog.add(0, 1e6)
+    for now, waiter in ((NOW + 1, "early"), (NOW + 4, "later")):
+        besteffort.run_job(owner, shard, waiter, record(), waiter, now + 9, now)
+    answers = [c.waiter for c in owner.take_commands() if hasattr(c, "waiter")]
+    assert answers == ["later"]
+
+
 def test_worker_that_fails_everything_is_set_aside():
     """Failures of several jobs in a row are the worker's; of one job, the job's."""
     view = create_view("a")
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -9,8 +9,6 @@
 from turmericknot.aio.server import Response, create_http_server
 from turmericknot.core.exceptions import (
     MessageError,
-    RecordsTrimmed,
-    StoreError,
     WorkerRefused,
     WorkerUnavailable,
 )
@@ -36,6 +34,7 @@
 from .clock import steady_time
 from .constants import REDIAL_LIMIT_S, SHARD_COUNT
 from .metrics import start_metrics
+from .registration import FORGET_AFTER_S, STALE_AFTER_S, decode_registration
 from .tasks import start_task
 
 GRANT_INTERVAL_S = 0.25
@@ -57,11 +56,11 @@
 
     __slots__ = ("name", "stream", "sent", "answered_at", "sequence", "room")
 
-    def __init__(self, name):
+    def __init__(self, name, now):
         self.name = name
         self.stream = None
         self.sent = {}  # sequence -> time
-        self.answered_at = 0.0
+        self.answered_at = now
         self.sequence = 0
         self.room = None  # what was last reported of the use by others
 
@@ -278,29 +277,17 @@
 
     async def _find_entries(self):
         """Follow in the store where entries listen."""
-        offset = None
-        is_reachable = True
-        while True:
+        newest = 0.0
+        records = self._store.follow(ENTRIES_TOPIC, WATCH_S, RETRY_S, "entries")
+        async for record in records:
             try:
-                if offset is None:
-                    offset, records = await self._store.newest(ENTRIES_TOPIC, 0)
-                else:
-                    page = await self._store.watch(ENTRIES_TOPIC, 0, offset, WATCH_S)
-                    offset, records = page.next_offset, page.records
-            except RecordsTrimmed:
-                offset = None
+                registration = decode_registration(record.value)
+            except MessageError as error:
+                self._log.warning("registration.unreadable", reason=str(error))
                 continue
-            except StoreError as error:
-                if is_reachable:
-                    is_reachable = False
-                    self._log.warning("store.lost", use="entries", reason=str(error))
-                await asyncio.sleep(RETRY_S)
-                continue
-            if not is_reachable:
-                is_reachable = True
-                self._log.info("store.regained", use="entries")
-            for record in records:
-                self._follow(record.key, record.value.decode())
+            newest = max(newest, registration.time)
+            if registration.time > newest - STALE_AFTER_S:
+                self._follow(record.key, registration.address)
 
     def _follow(self, name, address):
         """Dial an entry; a name that has moved leaves its former address."""
@@ -308,10 +295,18 @@
             if link.name == name and known != address:
                 self._links.hang_up(known)
                 del self._entries[known]
-        if address and address not in self._entries:
-            self._entries[address] = EntryLink(name)
+        if address not in self._entries:
+            self._entries[address] = EntryLink(name, steady_time())
             self._links.dial(address, address, self._hello)
 
+    def _forget_unreachable(self, now):
+        """Stop dialling entries that are gone; a new registration brings one back."""
+        for address, link in list(self._entries.items()):
+            if link.stream is None and now - link.answered_at > FORGET_AFTER_S:
+                self._log.info("entry.forgotten", entry=address)
+                self._links.hang_up(address)
+                del self._entries[address]
+
     def _hello(self):
         return wire.AgentHello(
             PROTOCOL_VERSION,
@@ -396,6 +391,7 @@
                     continue
                 self._request_grant(link, now)
             decisions.check_grants(self._runs, now)
+            self._forget_unreachable(now)
             if now >= progress_at:
                 decisions.report_progress(self._runs, now)
                 progress_at = now + decisions.PROGRESS_INTERVAL_S
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -35,11 +35,13 @@
 from .metrics import start_metrics
 from .operator import follow_configuration
 from .peers import PROBE_INTERVAL_S, create_peers, member_name
+from .registration import REGISTER_INTERVAL_S, Registration, encode_registration
 from .requests import RemoteWaiter, answer_waiter, create_requests
 from .tasks import start_task
 
 TICK_S = 0.1
 REQUEST_TIMEOUT_S = 1.4  # shorter than the usual deadline of a client
+KEEP_MARGIN_S = 5.0  # beyond the time for which the platform asks for a state
 UNKEPT_WAIT_S = 10.0  # for a caller that does not say how long it waits
 # A loop that stood still for longer has missed the departure of callers, which it
 # must notice before it starts anything for them.
@@ -119,7 +121,8 @@
         self.log = get_logger()
         boot = incarnation("", random.SystemRandom()).strip("#")
         self.member = member_name(settings.node, settings.link_address, boot)
-        self.owner = create_owner(OwnerTimes(keep=settings.bounds.keep_s + 5.0))
+        times = OwnerTimes(keep=settings.bounds.keep_s + KEEP_MARGIN_S)
+        self.owner = create_owner(times, random.Random(boot), steady_time())
         self.store = create_store(settings.store.address, settings.store.partitions)
         callbacks = LinkCallbacks(
             self._opened, self._received, self._closed, lambda key, refused: None
@@ -435,11 +438,13 @@
 
     async def _register(self):
         """Tell the agents in the store where this entry listens."""
-        record = KeyedRecord(self.settings.node, self.settings.link_address.encode())
         while True:
+            registration = Registration(self.settings.link_address, time.time())
+            value = encode_registration(registration)
+            record = KeyedRecord(self.settings.node, value)
             try:
                 await self.store.append(ENTRIES_TOPIC, 0, [record])
-                return
+                await asyncio.sleep(REGISTER_INTERVAL_S)
             except StoreError as error:
                 self.log.warning("register.failed", reason=str(error))
                 await asyncio.sleep(REGISTER_RETRY_S)
--- a/turmericknot/node/operator.py
+++ b/turmericknot/node/operator.py
@@ -1,8 +1,6 @@
 """The operator's configuration, followed in the store."""
 
-import asyncio
-
-from turmericknot.core.exceptions import MessageError, RecordsTrimmed, StoreError
+from turmericknot.core.exceptions import MessageError
 from turmericknot.platform.configuration import CONFIGURATION_KEY, decode_configuration
 from turmericknot.platform.store import OPERATOR_TOPIC
 from turmericknot.utils.logging import get_logger
@@ -15,31 +13,10 @@
 
 async def follow_configuration(store, changed):
     """Call ``changed(configuration)`` with each version that is newer."""
-    offset = None
     version = -1
-    is_reachable = True
-    while True:
-        try:
-            if offset is None:
-                offset, records = await store.newest(OPERATOR_TOPIC, 0)
-            else:
-                page = await store.watch(OPERATOR_TOPIC, 0, offset, WATCH_S)
-                offset, records = page.next_offset, page.records
-        except RecordsTrimmed:
-            offset = None
-            continue
-        except StoreError as error:
-            if is_reachable:
-                is_reachable = False
-                get_logger().warning("store.lost", use="config", reason=str(error))
-            await asyncio.sleep(RETRY_S)
-            continue
-        if not is_reachable:
-            is_reachable = True
-            get_logger().info("store.regained", use="config")
-        for record in records:
-            if record.key == CONFIGURATION_KEY and record.value:
-                version = _apply(record.value, version, changed)
+    async for record in store.follow(OPERATOR_TOPIC, WATCH_S, RETRY_S, "config"):
+        if record.key == CONFIGURATION_KEY and record.value:
+            version = _apply(record.value, version, changed)
 
 
 def _apply(value, version, changed):
--- a/turmericknot/platform/store.py
+++ b/turmericknot/platform/store.py
@@ -3,6 +3,7 @@
 A shard is a partition of the topic of jobs. Every call is sent once.
 """
 
+import asyncio
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -13,11 +14,13 @@
     CallAnswerLost,
     CallNotSent,
     RecordsTrimmed,
+    StoreError,
     StoreFenced,
     StoreRejected,
     StoreSequenceExpected,
     StoreUnavailable,
 )
+from turmericknot.utils.logging import get_logger
 
 JOBS_TOPIC = "keyed.jobs"
 ENTRIES_TOPIC = "keyed.entries"
@@ -183,6 +186,36 @@
         _check_ok(reply, "read")
         return _decode_page(reply.body, offset)
 
+    async def follow(self, topic, wait_s, retry_s, use):
+        """Yield the KeyedRecords of a topic, newest of each key first, for ever.
+
+        A watch lasts ``wait_s`` at most, so that a connection that has gone silent
+        is noticed. ``use`` names the topic in the log.
+        """
+        offset = None
+        is_reachable = True
+        while True:
+            try:
+                if offset is None:
+                    offset, records = await self.newest(topic, 0)
+                else:
+                    page = await self.watch(topic, 0, offset, wait_s)
+                    offset, records = page.next_offset, page.records
+            except RecordsTrimmed:
+                offset = None
+                continue
+            except StoreError as error:
+                if is_reachable:
+                    is_reachable = False
+                    get_logger().warning("store.lost", use=use, reason=str(error))
+                await asyncio.sleep(retry_s)
+                continue
+            if not is_reachable:
+                is_reachable = True
+                get_logger().info("store.regained", use=use)
+            for record in records:
+                yield record
+
     def close(self):
         """Drop the connections."""
         self._calls.close()
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
+from random import Random
 
 from turmericknot.utils import histograms
 from turmericknot.wire.shard_messages import NoteEnds, RunName, ShardEpoch, StopRuns
@@ -41,6 +42,8 @@
     after such a word. ``keep``: how long a finished job is shown
     after its end.
     ``note_after``: ends of unfinished jobs are stored after this time.
+    ``learn_workers``: how long after the start an entry may not know all workers,
+    which report themselves every 1.5 s.
     """
 
     grant: float = GRANT_S
@@ -49,6 +52,7 @@
     certain: float = 1.4
     keep: float = 120.0
     note_after: float = 1.0
+    learn_workers: float = 3.0
     resend_stop: float = 0.3
 
 
@@ -88,10 +92,15 @@
         "stopping",
         "counts",
         "paused_until",
+        "rng",
+        "knows_workers_at",
     )
 
-    def __init__(self, times):
+    def __init__(self, times, rng, now):
         self.times = times
+        self.rng = rng
+        # Until then the workers may not have been heard of yet.
+        self.knows_workers_at = now + times.learn_workers
         self.shards = {}
         self.agents = {}
         self.waiting = create_waiting_jobs()
@@ -123,9 +132,9 @@
         self.counts[name] = self.counts.get(name, 0) + amount
 
 
-def create_owner(times=None):
-    """Return an owner without shards."""
-    return Owner(times or OwnerTimes())
+def create_owner(times=None, rng=None, now=0.0):
+    """Return an owner without shards that begins at ``now``."""
+    return Owner(times or OwnerTimes(), rng or Random(0), now)
 
 
 def log(owner, event, **fields):
@@ -162,7 +171,7 @@
         else:
             job.waiters.append(waiter)
         return
-    refusal = job_refusal(owner, record)
+    refusal = job_refusal(owner, record, now)
     if refusal is not None:
         outcome, delay, reason = refusal
         owner.count("refused_" + reason)
@@ -177,7 +186,7 @@
     store_job(owner, job, (_submitted, job))
 
 
-def job_refusal(owner, record, patience_s=math.inf):
+def job_refusal(owner, record, now, patience_s=math.inf):
     """Return (outcome, delay, reason) when the job cannot be served, else None."""
     able = [
         agent
@@ -190,7 +199,7 @@
     delay = admission.refusal_delay(
         owner.backlog, owner.run_times, record, owner.free_cores, patience_s
     )
-    if delay and able:
+    if delay and now >= owner.knows_workers_at:
         return Outcome.REFUSED, delay, "backlog"
     return None
 
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -49,13 +49,15 @@
     agents = [view for view in owner.agents.values() if workers.is_usable(view, now)]
     if not agents:
         return
+    able = {}  # shard -> agents that may get its runs
     for job in owner.waiting.jobs():
         shard = owner.shards.get(job.shard)
         if shard is None or shard.is_closing:
             continue
-        able = [agent for agent in agents if _may_use(owner, shard, agent)]
+        if shard.number not in able:
+            able[shard.number] = [a for a in agents if _may_use(owner, shard, a)]
         for task in list(owner.waiting.tasks(job)):
-            agent = workers.choose_agent(able, task, now)
+            agent = workers.choose_from_many(able[shard.number], task, now, owner.rng)
             if agent is None:
                 passed_over += 1
                 break
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -14,6 +14,8 @@
 # Share of a worker's processors that urgent tasks may fill beyond its room. Tasks of
 # a third of a second on ten slots end every 30 ms, so two that wait begin in 60 ms.
 URGENT_AHEAD = 0.2
+# Beyond this number of agents a task looks at a random sample of so many.
+SAMPLE = 24
 # An agent that refused a run gets no new ones for this long.
 REST_S = 0.05
 # An agent that has not asked for a grant for this long gets no new runs.
@@ -116,6 +118,19 @@
     )
 
 
+def choose_from_many(agents, task, now, rng):
+    """Return the agent for a task from a random sample, or from all if that is full.
+
+    Answers sites of hundreds of workers: the best of two dozen is nearly as empty as
+    the best of all, and owners that choose at the same moment choose differently.
+    """
+    if len(agents) > SAMPLE:
+        agent = choose_agent(rng.sample(agents, SAMPLE), task, now)
+        if agent is not None:
+            return agent
+    return choose_agent(agents, task, now)
+
+
 def choose_agent(agents, task, now):
     """Return the agent for a task, or None when no worker has room.
 
