--- a/tests/node/platform_site.py
+++ b/tests/node/platform_site.py
@@ -22,8 +22,8 @@
 ROOT = Path(__file__).parents[2]
 HOST = "jobs.example"
 PREFIX = "/q/"
-# A start of five processes was seen to take 3.5 s at a load of 20 on six cores; the wait
-# is no bound of the product.
+# A start of five processes was seen to take 3.5 s at a load of 20 on six cores. The
+# wait is no bound of the product.
 READY_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 8
 
