Refuse new jobs at an entry that is about to exit

Change: when the balancer has had time to notice (2.6 s), new jobs get 503 at once, which is true: they have not run; jobs in progress go on until 5.4 s.

--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 
 import pytest
 
@@ -206,6 +207,27 @@
     run_site(test)
 
 
+def test_request_long_after_the_stop_signal_is_refused(run_site):
+    """A job begun shortly before the exit would be given up; it must not begin."""
+
+    async def test(site):
+        in_progress = asyncio.create_task(
+            site.call("entry-0", "POST", job(1), job_body(tasks=1, run_ms=4500))
+        )
+        await asyncio.sleep(0.3)
+        site.signal("entry-0", signal.SIGTERM)
+        await asyncio.sleep(3.2)
+        began = time.monotonic()
+        body = job_body(run_ms=3000)
+        status, _ = await site.call("entry-0", "POST", job(2), body)
+        assert status == 503
+        assert time.monotonic() - began < 0.5
+        assert len(site.starts) == 1
+        assert (await in_progress)[1] == {"state": "succeeded"}
+
+    run_site(test)
+
+
 def test_client_that_leaves(run_site):
     """The runs of a caller that has gone must stop at once."""
 
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -50,7 +50,9 @@
 REGISTER_RETRY_S = 0.3
 # After SIGTERM: balancers notice the missing readiness within two probes of 1 s.
 LAME_DUCK_S = 2.6
-EXIT_MARGIN_S = 1.0  # before the platform would kill the process
+# Before the platform would kill the process. Requests in progress are served into the
+# last sixth of its 6 s of grace.
+EXIT_MARGIN_S = 0.6
 
 
 class AppendEvents:
@@ -112,6 +114,7 @@
         "_ended",
         "_failed",
         "_is_draining",
+        "_is_closed",
         "_unkept",
         "_leave_at",
     )
@@ -140,6 +143,7 @@
         self._ended = asyncio.Event()
         self._failed = ""
         self._is_draining = False
+        self._is_closed = False  # no new job would end before the process does
         self._leave_at = None  # when a stopping process ends at the latest
         number = zlib.crc32(self.member.encode())
         self._unkept = besteffort.open_unkept_shard(self.owner, number)
@@ -311,6 +315,9 @@
         except MessageError as error:
             self.log.info("job.malformed", job=job_id, reason=str(error))
             return Response(400)
+        if self._is_closed:
+            self.log.info("job.refused", job=job_id, reason="stopping")
+            return platform_jobs.submission_response(Outcome.NOT_READY)
         if not job.is_kept:
             return await self._run_unkept(job_id, job.record, request)
         record = job.record
@@ -431,6 +438,7 @@
         joining.cancel()
         start_task(self.membership.run_after_leave(), "owners", self.failed)
         await asyncio.sleep(max(0.0, LAME_DUCK_S - (steady_time() - started_at)))
+        self._is_closed = True
         server.close_after_responses()
         while server.busy_connections and steady_time() < end:
             await asyncio.sleep(0.02)
