--- a/tests/node/platform_site.py
+++ b/tests/node/platform_site.py
@@ -24,7 +24,9 @@
 PREFIX = "/q/"
 # A start of five processes was seen to take 3.5 s at a load of 20 on six cores. The
 # wait is no bound of the product.
-READY_TIMEOUT_S = 60
+START_TIMEOUT_S = 60
+# In which a condition on a running site has to hold.
+CONDITION_TIMEOUT_S = 15
 STOP_TIMEOUT_S = 8
 
 
@@ -104,7 +106,7 @@
             client.close()
         return reply.status, msgspec.json.decode(reply.body) if reply.body else None
 
-    async def until(self, condition, timeout_s=READY_TIMEOUT_S):
+    async def until(self, condition, timeout_s=CONDITION_TIMEOUT_S):
         """Wait for ``condition()``, a coroutine function, to return true."""
         async with asyncio.timeout(timeout_s):
             while not await condition():
@@ -165,7 +167,7 @@
                     return False
             return True
 
-        await site.until(serves_everywhere)
+        await site.until(serves_everywhere, START_TIMEOUT_S)
         yield site
     finally:
         for task in site.tasks:
