--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -1,5 +1,6 @@
 """Streams over real loopback sockets."""
 
+import asyncio
 import queue
 import socket
 import threading
@@ -7,6 +8,7 @@
 from contextlib import contextmanager
 
 import pytest
+from grpclib.protocol import Connection
 
 from turmericknot.core.exceptions import AddressInUse
 from turmericknot.wire import streams
@@ -113,6 +115,24 @@
     assert report(client.links.traffic)["sent"]["frames"] == 2  # Hello was the first
 
 
+def test_frames_are_counted_before_the_peer_can_read_them(start, address, monkeypatch):
+    """Guards against counters that are behind what the other side has received."""
+    _, client, _, dialled = connect(start, address)
+    counted = queue.Queue()
+    flush = Connection.flush
+
+    def flush_and_note(connection):
+        if asyncio.get_running_loop() is client.links._loop:
+            counted.put(client.links.traffic.sent.frames)
+        flush(connection)
+
+    with paused_loop(client):
+        client.links.send(dialled, Heartbeat(3))
+        client.links.flush()
+        monkeypatch.setattr(Connection, "flush", flush_and_note)
+    assert counted.get(timeout=WAIT_S) == 2  # Hello was the first
+
+
 def test_large_batches_are_split_and_arrive(start, address):
     """Guards against frames beyond the flow-control window."""
     server, client, accepted, _ = connect(start, address)
--- a/turmericknot/wire/direct.py
+++ b/turmericknot/wire/direct.py
@@ -72,8 +72,11 @@
         await ended.wait()
 
 
-def write_frame(grpc, data):
-    """Write a frame if the connection takes it whole now; return whether it did."""
+def prepare_frame(grpc, data):
+    """Prepare a frame if the connection takes it whole now; return whether it did.
+
+    ``flush_frames`` sends it.
+    """
     stream = grpc._stream
     connection = stream.connection
     h2_connection = stream._h2_connection
@@ -89,5 +92,9 @@
         h2_connection.send_data(stream.id, prefix + data)
     except H2Error:
         return False  # the ordinary way reports the end of the stream
-    connection.flush()
     return True
+
+
+def flush_frames(grpc):
+    """Hand what was prepared to the socket."""
+    grpc._stream.connection.flush()
--- a/turmericknot/wire/streams.py
+++ b/turmericknot/wire/streams.py
@@ -133,14 +133,16 @@
     if not stream._queue or stream._queued_bytes > direct.MAX_DIRECT_BYTES:
         return not stream._queue
     data = codec.join_frame([part for _, part in stream._queue])
-    if not direct.write_frame(stream._grpc, data):
+    if not direct.prepare_frame(stream._grpc, data):
         return False
+    # The peer may answer as soon as the frame is flushed: the counters come first.
     sent = stream._traffic.sent
     sent.frames += 1
     for message_type, part in stream._queue:
         count_message(sent, message_type, len(part))
     stream._queue = []
     stream._queued_bytes = 0
+    direct.flush_frames(stream._grpc)
     return True
 
 
