Do not let ends of unknown owners hold up the lease after a restart

A restarted agent counts the ends that its worker lists to the shards of stored jobs, and renews no lease until such a shard has an owner; that takes the TTL of the former members. All jobs of the site are not kept, so those ends concern nobody. Ruled out: the group (it answered in 10 ms), late reports of workers (34.89 to 35.43 s). Change: an agent that restarts beside runs or ends reads which shards of stored jobs name it; the rest is noted at once. Without the store the end of the former lease settles it. The stop of a run that was found is repeated: no owner does. Five tests; the four on the lease and the repeated stop failed before.

--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -4,8 +4,7 @@
 
 from turmericknot.scheduling import owner as decisions, ownership, runs
 from turmericknot.scheduling.commands import Outcome
-from turmericknot.scheduling.jobs import RunEnd, encode_record
-from turmericknot.scheduling.runs import AGENT_KEY
+from turmericknot.scheduling.jobs import RunEnd, agent_key, encode_record
 
 from .site import JOB, gain, record
 
@@ -80,9 +79,7 @@
     decisions.stored(entry.owner, command.token, owned.now)
     owned.advance(0.05)
     assert owned.running() == []
-    assert {c.key for c in entry.to_store} == {
-        AGENT_KEY + name for name in owned.agents
-    }
+    assert {c.key for c in entry.to_store} == {agent_key(name) for name in owned.agents}
     owned.store(entry)
     owned.advance(0.05)
     assert len(owned.running()) == 2
@@ -133,7 +130,7 @@
 def stored_items(entry):
     """Return what a store would hold of the entry's shard."""
     shard = entry.owner.shards[SHARD]
-    items = [(AGENT_KEY + name, b"1") for name in shard.usable_agents]
+    items = [(agent_key(name), b"1") for name in shard.usable_agents]
     items += [(job.id, encode_record(job.record)) for job in shard.jobs.values()]
     return items
 
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -225,6 +225,68 @@
     assert all(isinstance(call, StartCall) for call in agent.start_calls)
 
 
+def restart_beside_an_end(agent, now):
+    """Restart the agent beside a worker that lists an end of a former process."""
+    name = wire.RunName("00000000000000a8", 0, 0, 1)
+    agent.worker.ends = [HeldEnd(1, name, RunEnd.DONE)]
+    agent.restart(now)
+    grant(agent, now)
+
+
+def test_ends_of_jobs_that_are_not_kept_hold_up_nobody(agent):
+    """After the restart of all processes no owner would take note of them."""
+    restart_beside_an_end(agent, 100.5)
+    worker_runs.former_shards_learned(agent.state, [])
+    assert reasons(order(agent, 100.6, 0)) == []
+    assert worker_runs.next_hold(agent.state, 100.6).last_seen == 1
+
+
+def test_ends_of_stored_jobs_wait_for_their_owner(agent):
+    """A task must not run again once its end has been taken note of."""
+    restart_beside_an_end(agent, 100.5)
+    worker_runs.former_shards_learned(agent.state, [0])
+    assert reasons(order(agent, 100.6, 0)) == ["no_lease"]
+    assert worker_runs.next_hold(agent.state, 100.6).last_seen == 0
+    worker_runs.granted(
+        agent.state, 8, wire.Grant(2, [wire.ShardEpoch(0, 1)]), 100.7, 100.7
+    )
+    (ended,) = [
+        message
+        for stream, message in agent.carry_out(100.7)
+        if stream == 8 and isinstance(message, wire.RunsEnded)
+    ]
+    assert ended.ends[0].how == RunEnd.DONE
+    assert reasons(order(agent, 100.7, 0)) == []
+
+
+def test_ends_found_are_over_when_the_former_lease_has_lapsed(agent):
+    """The store may be away, and with it the owners of the shards of stored jobs."""
+    restart_beside_an_end(agent, 100.5)
+    assert reasons(order(agent, 100.6, 0)) == ["no_lease"]
+    grant(agent, 101.7)
+    assert reasons(order(agent, 101.7, 0)) == []
+
+
+def test_run_found_of_a_job_that_is_not_kept_holds_up_nobody(agent):
+    """An order carried out late must not end the lease of all other runs."""
+    worker_runs.former_shards_learned(agent.state, [])
+    order(agent, 100.0, 0)
+    agent.auto = False
+    agent.worker.running[wire.RunName("00000000000000a9", 0, 0, 1)] = 100.0
+    agent.hold(100.1)
+    assert worker_runs.next_hold(agent.state, 100.2).deadline_ms is not None
+
+
+def test_stop_of_a_run_that_was_found_is_repeated(agent):
+    """The first order to stop may have got lost, and no owner repeats it."""
+    agent.auto = False
+    agent.worker.running[wire.RunName("00000000000000a9", 0, 0, 1)] = 100.0
+    for now in (100.1, 100.2, 100.5):
+        agent.hold(now)
+        agent.carry_out(now)
+    assert len(agent.stop_calls) == 2
+
+
 def hold_with_percent(agent, now, percent):
     call = worker_runs.next_hold(agent.state, now)
     rows = [worker_runs.HeldRun(name, percent) for name in agent.worker.running]
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -9,17 +9,19 @@
 from turmericknot.aio.server import Response, create_http_server
 from turmericknot.core.exceptions import (
     MessageError,
+    StoreError,
     WorkerRefused,
     WorkerUnavailable,
 )
 from turmericknot.core.ids import incarnation
-from turmericknot.platform.store import ENTRIES_TOPIC, create_store
+from turmericknot.platform.store import ENTRIES_TOPIC, JOBS_TOPIC, create_store
 from turmericknot.platform.workers import (
     WorkerCalls,
     decode_report,
     reporting_worker,
 )
 from turmericknot.scheduling import worker_runs as decisions
+from turmericknot.scheduling.jobs import agent_key
 from turmericknot.scheduling.worker_runs import (
     LogRun,
     SendToOwner,
@@ -48,6 +50,8 @@
 NOTE_WAIT_S = 0.05  # longest pause of looks for ends that wait for their owner
 RETRY_S = 0.3
 WATCH_S = 8.0
+# A read of all records of the shards; the end of a lease, 1 s, often settles it first.
+FORMER_SHARDS_RETRY_S = 1.0
 EXIT_MARGIN_S = 1.2  # before the platform would kill the process
 
 
@@ -84,6 +88,7 @@
         "_look",
         "_noted",
         "_starting",
+        "_learning",
     )
 
     def __init__(self, settings):
@@ -110,6 +115,7 @@
         self._look = asyncio.Event()
         self._noted = asyncio.Event()
         self._starting = asyncio.Semaphore(MAX_STARTS_AT_ONCE)
+        self._learning = None  # the task that asks for the former shards
 
     def failed(self, name):
         """End the process: one of its tasks has failed."""
@@ -260,12 +266,39 @@
                 continue
             was_synced = self._runs.is_synced
             decisions.held(self._runs, call, result, steady_time())
+            if self._runs.asks_for_former_shards and self._learning is None:
+                learning = self._learn_former_shards()
+                self._learning = start_task(learning, "former shards", self.failed)
             if not was_synced and self._runs.is_synced:
                 self._tell_worker()
             self._carry_out()
             if self._runs.ends:
                 await self._wait_for_notes()
 
+    async def _learn_former_shards(self):
+        """Read in the store which shards had runs at former processes of the agent."""
+        former = None
+        while former is None:
+            try:
+                former = await self._read_former_shards()
+            except StoreError as error:
+                # Meanwhile new owners, or the end of the lease, may settle it.
+                self._log.warning("agent.former_shards_unknown", reason=str(error))
+                await asyncio.sleep(FORMER_SHARDS_RETRY_S)
+        self._log.info("agent.former_shards", shards=sorted(former))
+        decisions.former_shards_learned(self._runs, former)
+        self._carry_out()
+
+    async def _read_former_shards(self):
+        key = agent_key(self._settings.node)
+        former = set()
+        for shard in range(SHARD_COUNT):
+            partition = self._store.shard_partition(shard, SHARD_COUNT)
+            _, records = await self._store.newest(JOBS_TOPIC, partition)
+            if any(record.key == key and record.value for record in records):
+                former.add(shard)
+        return former
+
     async def _wait_for_notes(self):
         """Pause while ends are not noted: each look would return at once."""
         self._noted.clear()
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -213,6 +213,20 @@
     return max(ends, default=0.0)
 
 
+# Before the id of an agent, among the keys of a shard; job ids are the other keys.
+_AGENT_KEY = "agent/"
+
+
+def agent_key(agent_id):
+    """Return the key of the record that names an agent with runs of the shard."""
+    return _AGENT_KEY + agent_id
+
+
+def agent_of_key(key):
+    """Return the id of the agent that a record names, or an empty string."""
+    return key.removeprefix(_AGENT_KEY) if key.startswith(_AGENT_KEY) else ""
+
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(JobRecord)
 
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -12,7 +12,13 @@
 
 from . import admission, workers
 from .commands import Outcome, SendMessage
-from .jobs import JobState, TaskStatus, create_job, decode_record
+from .jobs import (
+    JobState,
+    TaskStatus,
+    agent_of_key,
+    create_job,
+    decode_record,
+)
 from .owner import (
     Shard,
     answer,
@@ -20,7 +26,7 @@
     granted_shards,
     log,
 )
-from .runs import AGENT_KEY, end_recovery
+from .runs import end_recovery
 
 
 def gain_shard(owner, number, epoch, items, now):
@@ -31,8 +37,8 @@
     """
     shard = Shard(number, epoch)
     for key, value in items:
-        if key.startswith(AGENT_KEY):
-            agent_id = key.removeprefix(AGENT_KEY)
+        agent_id = agent_of_key(key)
+        if agent_id:
             shard.recorded_agents.add(agent_id)
             shard.usable_agents.add(agent_id)
             continue
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -4,7 +4,7 @@
 
 from . import besteffort, workers
 from .commands import SendMessage, StoreRecord
-from .jobs import JobState, RunEnd, TaskStatus
+from .jobs import JobState, RunEnd, TaskStatus, agent_key
 from .owner import (
     RUNS_PER_EPOCH,
     count_failure,
@@ -37,7 +37,6 @@
 FULL_PATIENCE_S = 0.15
 # At an agent, jobs that will be late come after all others of their priority.
 LATE_BEHIND_S = 3600.0
-AGENT_KEY = "agent/"  # before the id of an agent, among the keys of a shard
 
 
 def schedule(owner, now):
@@ -83,8 +82,9 @@
     if agent.id not in shard.recorded_agents:
         shard.recorded_agents.add(agent.id)
         token = (_agent_recorded, (shard, agent.id))
-        key = AGENT_KEY + agent.id
-        owner.commands.append(StoreRecord(shard.number, key, b"1", token))
+        owner.commands.append(
+            StoreRecord(shard.number, agent_key(agent.id), b"1", token)
+        )
     return False
 
 
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -34,6 +34,8 @@
 STOP_LEAD_S = 0.3
 # An owner whose grant ended this long ago is forgotten.
 FORGET_S = 3.0
+# The stop of a run that no owner knows is sent again after this time.
+RESEND_STOP_S = 0.3
 MAX_QUEUED = 16  # runs that may wait for room
 # A run whose percentage does not change for this long stands still. A run of the
 # longest tail on a worker several times too slow needs 0.7 s for one percent.
@@ -84,10 +86,14 @@
 
 @dataclass(slots=True)
 class Run:
-    """A run that the worker has, or may have."""
+    """A run that the worker has, or may have.
+
+    ``shard`` is None for a run that a former process of the agent started for a job
+    that is not kept: nobody asks for its end.
+    """
 
     name: RunName
-    shard: int
+    shard: int | None
     cpu: int = 0
     memory: int = 0
     accelerators: int = 0
@@ -96,6 +102,8 @@
     confirmed_at: float = 0.0
     is_doubtful: bool = False  # the answer to its start was lost
     is_stopping: bool = False
+    stop_sent_at: float = 0.0
+    is_found: bool = False  # a former process of the agent started it
     order: object = None  # the RunStart while the run waits for room
     queued_at: float = 0.0
     due_at: float = 0.0
@@ -199,6 +207,8 @@
         "is_leaving",
         "is_synced",
         "synced_after",
+        "found_ends",
+        "former_shards",
         "commands",
     )
 
@@ -218,6 +228,10 @@
         # worker lists none any more, or its lease has lapsed.
         self.is_synced = False
         self.synced_after = now + hold_max_s * WORKER_CLOCK_ERROR + LAPSE_MARGIN_S
+        self.found_ends = set()  # numbers of ends of runs that were found
+        # Shards of stored jobs of which former processes may have started runs here;
+        # None until the store has told.
+        self.former_shards = None
         self.commands = []
 
     @property
@@ -225,6 +239,13 @@
         """Return the number up to which the worker may forget its ends."""
         return min(self.ends) - 1 if self.ends else self.highest_end
 
+    @property
+    def asks_for_former_shards(self):
+        """Return whether it matters whose runs a former process started."""
+        if self.former_shards is not None:
+            return False
+        return bool(self.found_ends) or any(r.is_found for r in self.runs.values())
+
     def take_commands(self):
         """Return the commands decided since the last call."""
         commands, self.commands = self.commands, []
@@ -294,6 +315,7 @@
         _report_end(state, run.shard, EndedRun(run.name, 0, RunEnd.LOST))
     state.runs.clear()
     state.ends.clear()
+    state.found_ends.clear()
     state.highest_end = 0
     state.lease_until = 0.0
 
@@ -353,8 +375,8 @@
 
 def check_grants(state, now):
     """Stop the runs of owners whose grant runs out, and forget lost owners."""
-    if not state.is_synced and state.life is None and now > state.synced_after:
-        _synced(state)
+    if now > state.synced_after and not state.lease_until:
+        _former_lease_lapsed(state)
     lease_over = now > state.lease_until
     for number, known in list(state.shards.items()):
         if now < known.expires_at - STOP_LEAD_S or not known.expires_at:
@@ -362,12 +384,49 @@
         for run in state.runs.values():
             if run.shard == number and not run.is_stopping and run.order is None:
                 _log(state, "run.grant_ends", job=run.name.job, shard=number)
-                _stop(state, run)
+                _stop(state, run, now)
         known.is_lapsed = lease_over and now >= known.expires_at
         if now > known.expires_at + FORGET_S and known.stream is None:
             _forget_owner(state, number)
 
 
+def _former_lease_lapsed(state):
+    """Go on without the owners of what a former process of the agent started.
+
+    Its lease has lapsed and none has been given since. The ends listed before count
+    as lost for good, so that noting them later cannot make a task's second run one
+    that began after its end.
+    """
+    if not state.is_synced and state.life is None:
+        _synced(state)
+    for number in list(state.found_ends):
+        shard, _ = state.ends.get(number, (None, None))
+        if shard not in state.shards:
+            _forget_found_end(state, number)
+
+
+def _forget_found_end(state, number):
+    state.found_ends.discard(number)
+    state.ends.pop(number, None)
+
+
+def former_shards_learned(state, shards):
+    """Take the shards of stored jobs whose records name this agent.
+
+    Answers the restart of all processes at once: what former entries started for jobs
+    that are not kept has no owner any more, and must not hold up the lease until the
+    shards of stored jobs have new owners.
+    """
+    state.former_shards = frozenset(shards)
+    for run in state.runs.values():
+        if run.is_found and run.shard not in state.former_shards:
+            run.shard = None
+    for number in list(state.found_ends):
+        shard, _ = state.ends.get(number, (None, None))
+        if shard not in state.former_shards:
+            _forget_found_end(state, number)
+
+
 def _forget_owner(state, number):
     """Note the ends of an owner that is gone, unless a successor will ask."""
     if number < state.shard_count:
@@ -400,6 +459,7 @@
 def _holding_shards(state):
     """Return the shards with runs or with ends that are not noted."""
     held = {run.shard for run in state.runs.values() if run.order is None}
+    held.discard(None)
     # Ends of jobs that are not kept need no lease: nobody asks for them twice.
     for shard, _ in state.ends.values():
         if shard < state.shard_count:
@@ -530,14 +590,15 @@
             _report_end(state, order.shard, EndedRun(name, 0, RunEnd.STOPPED))
             continue
         if run is not None:
-            _stop(state, run)
+            _stop(state, run, now)
             continue
         end = next((end for _, end in state.ends.values() if end.name == name), None)
         _report_end(state, order.shard, end or EndedRun(name, 0, RunEnd.STOPPED))
 
 
-def _stop(state, run):
+def _stop(state, run, now):
     run.is_stopping = True
+    run.stop_sent_at = now
     state.commands.append(StopCall(run.name, state.fence, state.life))
 
 
@@ -547,6 +608,7 @@
         return
     for number in numbers:
         state.ends.pop(number, None)
+        state.found_ends.discard(number)
 
 
 def next_hold(state, now):
@@ -572,6 +634,7 @@
         if row.name not in state.runs:
             _take_unknown_run(state, row.name, now)
         start_confirmed(state, row.name, now)
+        _stop_found_again(state, state.runs[row.name], now)
         _check_progress(state, state.runs[row.name], row.percent, now)
     for row in result.ended:
         _take_end(state, row, now)
@@ -596,11 +659,17 @@
 
     Until all of the former ones have ended, the agent does not offer its worker.
     """
-    shard = _shard(state, name.job)
-    run = Run(name, shard, is_confirmed=True, confirmed_at=now)
+    shard = _former_shard(state, name.job)
+    run = Run(name, shard, is_confirmed=True, confirmed_at=now, is_found=True)
     state.runs[name] = run
     _log(state, "run.found", job=name.job, run=name.run)
-    _stop(state, run)
+    _stop(state, run, now)
+
+
+def _stop_found_again(state, run, now):
+    """Repeat a stop that no owner repeats."""
+    if run.is_found and now - run.stop_sent_at > RESEND_STOP_S:
+        _stop(state, run, now)
 
 
 def _check_progress(state, run, percent, now):
@@ -614,7 +683,7 @@
     elif now - run.progressed_at > STUCK_S and not run.is_stopping and percent < 100:
         run.is_stuck = True
         _log(state, "run.stuck", job=run.name.job, percent=percent)
-        _stop(state, run)
+        _stop(state, run, now)
 
 
 def worker_pace(state, now):
@@ -660,8 +729,12 @@
     if run is not None and run.is_stuck and how is RunEnd.STOPPED:
         how = RunEnd.STUCK
     end = EndedRun(row.name, row.number, how, run_ms)
-    shard = run.shard if run is not None else _shard(state, row.name.job)
-    state.ends[row.number] = (shard, end)
+    is_found = run is None or run.is_found
+    shard = _former_shard(state, row.name.job) if is_found else run.shard
+    if shard is not None:
+        state.ends[row.number] = (shard, end)
+        if is_found:
+            state.found_ends.add(row.number)
     _report_end(state, shard, end)
 
 
@@ -706,8 +779,15 @@
         state.commands.append(SendToOwner(known.stream, message))
 
 
-def _shard(state, job_id):
-    return shard_of(job_id, state.shard_count)
+def _former_shard(state, job_id):
+    """Return the shard of a job that a former process of the agent served.
+
+    None: the job is not kept, because the shard's records do not name this agent.
+    """
+    shard = shard_of(job_id, state.shard_count)
+    if state.former_shards is None or shard in state.former_shards:
+        return shard
+    return None
 
 
 def _log(state, event, **fields):
