Split the agent's decisions into leases, starts, lists and pace

The functions are unchanged; those that several of the modules use lost their leading underscore. No import circle: types, runs, leases, starts, lists in this order, and pace beside them.

--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -5,11 +5,14 @@
     owner as decisions,
     ownership,
     runs,
+    worker_leases,
+    worker_lists,
     worker_runs,
+    worker_starts,
 )
 from turmericknot.scheduling.commands import AnswerRequest, SendMessage, StoreRecord
 from turmericknot.scheduling.jobs import JobRecord, JobState, RunEnd, StepSpec
-from turmericknot.scheduling.worker_runs import (
+from turmericknot.scheduling.worker_types import (
     HeldEnd,
     HeldRun,
     HoldResult,
@@ -118,7 +121,7 @@
 
     def hold(self, now):
         """Look at the worker once."""
-        call = worker_runs.next_hold(self.state, now)
+        call = worker_lists.next_hold(self.state, now)
         self.carry_out(now)
         if call is None:
             return None
@@ -128,7 +131,7 @@
             for name, begun in self.worker.running.items()
         ]
         result = HoldResult(int(now * 1000), call.life.born, running, ends)
-        worker_runs.held(self.state, call, result, now)
+        worker_lists.held(self.state, call, result, now)
         return call
 
     def carry_out(self, now):
@@ -140,7 +143,7 @@
                 if self.auto:
                     self.worker.running[command.name] = now
                     self.worker.started.append(command.name)
-                    worker_runs.start_confirmed(self.state, command.name, now)
+                    worker_starts.start_confirmed(self.state, command.name, now)
             elif isinstance(command, StopCall):
                 self.stop_calls.append(command)
                 if self.auto and command.name in self.worker.running:
@@ -182,7 +185,7 @@
         stream = self.stream_of.pop((entry.name, agent.name))
         self.links.discard((entry.name, agent.name))
         runs.agent_disconnected(entry.owner, agent.name, self.now)
-        worker_runs.stream_closed(agent.state, stream)
+        worker_leases.stream_closed(agent.state, stream)
 
     def renew(self, entry, agent):
         """Let an agent ask an entry for a grant."""
@@ -225,13 +228,13 @@
         match message:
             case wire.Grant():
                 sent_at = now if message.sequence else None
-                worker_runs.granted(state, stream, message, sent_at, now)
+                worker_leases.granted(state, stream, message, sent_at, now)
             case wire.StartRuns():
-                worker_runs.start_runs(state, stream, message, now)
+                worker_starts.start_runs(state, stream, message, now)
             case wire.StopRuns():
-                worker_runs.stop_runs(state, stream, message, now)
+                worker_starts.stop_runs(state, stream, message, now)
             case wire.NoteEnds():
-                worker_runs.note_ends(state, message.life, message.numbers)
+                worker_leases.note_ends(state, message.life, message.numbers)
         return True
 
     def _to_entry(self, agent, stream, message):
@@ -262,7 +265,7 @@
                     self.renew(self.entries[entry_name], self.agents[agent_name])
             self.settle()
             for agent in self.agents.values():
-                worker_runs.check_grants(agent.state, self.now)
+                worker_leases.check_grants(agent.state, self.now)
                 agent.hold(self.now)
             self.settle()
             for entry in self.entries.values():
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -2,9 +2,14 @@
 
 import pytest
 
-from turmericknot.scheduling import worker_runs
+from turmericknot.scheduling import (
+    worker_leases,
+    worker_lists,
+    worker_starts,
+    worker_types,
+)
 from turmericknot.scheduling.jobs import RunEnd
-from turmericknot.scheduling.worker_runs import HeldEnd, StartCall
+from turmericknot.scheduling.worker_types import HeldEnd, StartCall
 from turmericknot.wire import shard_messages as wire
 
 from .site import Agent
@@ -23,7 +28,7 @@
 
 def grant(agent, now, epoch=1):
     shards = [wire.ShardEpoch(SHARD, epoch)]
-    worker_runs.granted(agent.state, STREAM, wire.Grant(1, shards), now, now)
+    worker_leases.granted(agent.state, STREAM, wire.Grant(1, shards), now, now)
     agent.carry_out(now)
 
 
@@ -35,7 +40,7 @@
     ]
     life = agent.state.life.key
     message = wire.StartRuns(SHARD, epoch, life, starts)
-    worker_runs.start_runs(agent.state, STREAM, message, now)
+    worker_starts.start_runs(agent.state, STREAM, message, now)
     return agent.carry_out(now)
 
 
@@ -55,12 +60,12 @@
     name = wire.RunName("00000000000000a1", 0, 0, 1)
     agent.worker.ends = [HeldEnd(585 + n, name, RunEnd.DONE) for n in range(3)]
     agent.restart(101.0)
-    worker_runs.note_ends(agent.state, agent.state.life.key, [586])
-    assert worker_runs.next_hold(agent.state, 101.0).last_seen == 584
-    worker_runs.note_ends(agent.state, agent.state.life.key, [585])
-    assert worker_runs.next_hold(agent.state, 101.0).last_seen == 586
-    worker_runs.note_ends(agent.state, agent.state.life.key, [587])
-    assert worker_runs.next_hold(agent.state, 101.0).last_seen == 587
+    worker_leases.note_ends(agent.state, agent.state.life.key, [586])
+    assert worker_lists.next_hold(agent.state, 101.0).last_seen == 584
+    worker_leases.note_ends(agent.state, agent.state.life.key, [585])
+    assert worker_lists.next_hold(agent.state, 101.0).last_seen == 586
+    worker_leases.note_ends(agent.state, agent.state.life.key, [587])
+    assert worker_lists.next_hold(agent.state, 101.0).last_seen == 587
 
 
 def test_an_end_that_is_not_noted_stays_listed(agent):
@@ -70,17 +75,17 @@
     agent.worker.end(first)
     agent.worker.end(second)
     agent.hold(100.1)
-    worker_runs.note_ends(agent.state, agent.state.life.key, [2])
-    assert worker_runs.next_hold(agent.state, 100.1).last_seen == 0
-    worker_runs.note_ends(agent.state, agent.state.life.key, [1])
-    assert worker_runs.next_hold(agent.state, 100.1).last_seen == 2
+    worker_leases.note_ends(agent.state, agent.state.life.key, [2])
+    assert worker_lists.next_hold(agent.state, 100.1).last_seen == 0
+    worker_leases.note_ends(agent.state, agent.state.life.key, [1])
+    assert worker_lists.next_hold(agent.state, 100.1).last_seen == 2
 
 
 def test_no_run_beyond_the_room(agent):
     """Two owners may choose the same worker at the same moment."""
     assert reasons(order(agent, 100.0, 0, 1, 2)) == []
     assert len(agent.worker.running) == 2
-    worker_runs.start_queued(agent.state, 100.2)
+    worker_starts.start_queued(agent.state, 100.2)
     assert reasons(agent.carry_out(100.2)) == ["room"]
     assert len(agent.worker.running) == 2
 
@@ -100,8 +105,8 @@
     life = agent.state.life.key
     start = wire.RunStart("00000000000000a1", 0, 2, 1, 1000, 64, 0, "x", patience=0.02)
     message = wire.StartRuns(SHARD, 1, life, [start])
-    worker_runs.start_runs(agent.state, STREAM, message, 100.0)
-    worker_runs.start_queued(agent.state, 100.03)
+    worker_starts.start_runs(agent.state, STREAM, message, 100.0)
+    worker_starts.start_queued(agent.state, 100.03)
     assert reasons(agent.carry_out(100.03)) == ["room"]
 
 
@@ -110,7 +115,7 @@
     order(agent, 100.0, 0, 1, 2)
     (waiting,) = [r.name for r in agent.state.runs.values() if r.order is not None]
     stop = wire.StopRuns(SHARD, 1, [waiting])
-    worker_runs.stop_runs(agent.state, STREAM, stop, 100.05)
+    worker_starts.stop_runs(agent.state, STREAM, stop, 100.05)
     for name in list(agent.worker.running):
         agent.worker.end(name)
     agent.hold(100.1)
@@ -127,7 +132,7 @@
             "00000000000000a1", 0, index, 1, 1000, 64, 0, "x", priority, patience=0.15
         )
         message = wire.StartRuns(SHARD, 1, life, [start])
-        worker_runs.start_runs(agent.state, STREAM, message, 100.0)
+        worker_starts.start_runs(agent.state, STREAM, message, 100.0)
     agent.worker.end(next(iter(agent.worker.running)))
     agent.hold(100.1)
     agent.carry_out(100.1)
@@ -154,15 +159,15 @@
 def test_lease_ends_with_the_grant(agent):
     """A run must not outlast the time after which its owner replaces it."""
     order(agent, 100.0, 0)
-    call = worker_runs.next_hold(agent.state, 100.5)
+    call = worker_lists.next_hold(agent.state, 100.5)
     assert call.deadline_ms <= 101_100
-    assert worker_runs.next_hold(agent.state, 101.2).deadline_ms is None
+    assert worker_lists.next_hold(agent.state, 101.2).deadline_ms is None
 
 
 def test_runs_are_stopped_before_the_grant_ends(agent):
     """Otherwise the lease lapses, and with it the runs of other owners."""
     order(agent, 100.0, 0)
-    worker_runs.check_grants(agent.state, 100.85)
+    worker_leases.check_grants(agent.state, 100.85)
     agent.carry_out(100.85)
     assert agent.worker.running == {}
     assert agent.worker.ends[0].how is RunEnd.STOPPED
@@ -173,11 +178,11 @@
     agent.auto = False
     order(agent, 100.0, 0)
     (call,) = agent.start_calls
-    worker_runs.start_unanswered(agent.state, call.name, 100.1)
-    held = worker_runs.next_hold(agent.state, 100.1)
+    worker_starts.start_unanswered(agent.state, call.name, 100.1)
+    held = worker_lists.next_hold(agent.state, 100.1)
     assert held.fence > call.fence
-    result = worker_runs.HoldResult(100_100, 1)
-    worker_runs.held(agent.state, held, result, 100.1)
+    result = worker_types.HoldResult(100_100, 1)
+    worker_lists.held(agent.state, held, result, 100.1)
     assert reasons(agent.carry_out(100.1)) == ["answer_lost"]
 
 
@@ -186,9 +191,9 @@
     agent.auto = False
     order(agent, 100.0, 0)
     (call,) = agent.start_calls
-    early = worker_runs.next_hold(agent.state, 100.05)
-    worker_runs.start_unanswered(agent.state, call.name, 100.1)
-    worker_runs.held(agent.state, early, worker_runs.HoldResult(100_100, 1), 100.1)
+    early = worker_lists.next_hold(agent.state, 100.05)
+    worker_starts.start_unanswered(agent.state, call.name, 100.1)
+    worker_lists.held(agent.state, early, worker_types.HoldResult(100_100, 1), 100.1)
     assert reasons(agent.carry_out(100.1)) == []
 
 
@@ -236,18 +241,18 @@
 def test_ends_of_jobs_that_are_not_kept_hold_up_nobody(agent):
     """After the restart of all processes no owner would take note of them."""
     restart_beside_an_end(agent, 100.5)
-    worker_runs.former_shards_learned(agent.state, [])
+    worker_leases.former_shards_learned(agent.state, [])
     assert reasons(order(agent, 100.6, 0)) == []
-    assert worker_runs.next_hold(agent.state, 100.6).last_seen == 1
+    assert worker_lists.next_hold(agent.state, 100.6).last_seen == 1
 
 
 def test_ends_of_stored_jobs_wait_for_their_owner(agent):
     """A task must not run again once its end has been taken note of."""
     restart_beside_an_end(agent, 100.5)
-    worker_runs.former_shards_learned(agent.state, [0])
+    worker_leases.former_shards_learned(agent.state, [0])
     assert reasons(order(agent, 100.6, 0)) == ["no_lease"]
-    assert worker_runs.next_hold(agent.state, 100.6).last_seen == 0
-    worker_runs.granted(
+    assert worker_lists.next_hold(agent.state, 100.6).last_seen == 0
+    worker_leases.granted(
         agent.state, 8, wire.Grant(2, [wire.ShardEpoch(0, 1)]), 100.7, 100.7
     )
     (ended,) = [
@@ -269,12 +274,12 @@
 
 def test_run_found_of_a_job_that_is_not_kept_holds_up_nobody(agent):
     """An order carried out late must not end the lease of all other runs."""
-    worker_runs.former_shards_learned(agent.state, [])
+    worker_leases.former_shards_learned(agent.state, [])
     order(agent, 100.0, 0)
     agent.auto = False
     agent.worker.running[wire.RunName("00000000000000a9", 0, 0, 1)] = 100.0
     agent.hold(100.1)
-    assert worker_runs.next_hold(agent.state, 100.2).deadline_ms is not None
+    assert worker_lists.next_hold(agent.state, 100.2).deadline_ms is not None
 
 
 def test_stop_of_a_run_that_was_found_is_repeated(agent):
@@ -288,11 +293,11 @@
 
 
 def hold_with_percent(agent, now, percent):
-    call = worker_runs.next_hold(agent.state, now)
-    rows = [worker_runs.HeldRun(name, percent) for name in agent.worker.running]
+    call = worker_lists.next_hold(agent.state, now)
+    rows = [worker_types.HeldRun(name, percent) for name in agent.worker.running]
     ends = list(agent.worker.ends)
-    result = worker_runs.HoldResult(int(now * 1000), 1, rows, ends)
-    worker_runs.held(agent.state, call, result, now)
+    result = worker_types.HoldResult(int(now * 1000), 1, rows, ends)
+    worker_lists.held(agent.state, call, result, now)
     return agent.carry_out(now)
 
 
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -20,14 +20,16 @@
     decode_report,
     reporting_worker,
 )
-from turmericknot.scheduling import worker_runs as decisions
-from turmericknot.scheduling.jobs import agent_key
-from turmericknot.scheduling.worker_runs import (
-    LogRun,
-    SendToOwner,
-    StartCall,
-    create_worker_runs,
+from turmericknot.scheduling import (
+    worker_leases,
+    worker_lists,
+    worker_pace,
+    worker_runs,
+    worker_starts,
 )
+from turmericknot.scheduling.jobs import agent_key
+from turmericknot.scheduling.worker_runs import create_worker_runs
+from turmericknot.scheduling.worker_types import LogRun, SendToOwner, StartCall
 from turmericknot.utils.logging import get_logger
 from turmericknot.wire import shard_messages as wire
 from turmericknot.wire.links import LinkCallbacks, create_links
@@ -97,7 +99,7 @@
         self._boot = incarnation("", random.SystemRandom()).strip("#")
         self._runs = create_worker_runs(
             SHARD_COUNT,
-            decisions.GRANT_S,
+            worker_runs.GRANT_S,
             settings.bounds.lease_ms / 1000,
             steady_time(),
         )
@@ -172,7 +174,7 @@
             return Response(404)
         now = steady_time()
         if request.method == "DELETE":
-            if decisions.worker_left(self._runs, worker_id, now):
+            if worker_runs.worker_left(self._runs, worker_id, now):
                 self._tell_worker()
                 self._carry_out()
             return Response(200)
@@ -185,13 +187,13 @@
         except MessageError as error:
             self._log.warning("report.refused", reason=str(error))
             return Response(400)
-        if decisions.worker_reported(self._runs, life, now):
+        if worker_runs.worker_reported(self._runs, life, now):
             self._tell_worker()
         self._carry_out()
         return Response(200, b"{}")
 
     def _tell_worker(self):
-        message = wire.WorkerChanged(decisions.worker_report(self._runs))
+        message = wire.WorkerChanged(worker_runs.worker_report(self._runs))
         for link in self._entries.values():
             if link.stream is not None:
                 self._links.send(link.stream, message)
@@ -222,14 +224,14 @@
         except WorkerRefused as error:
             self._log.info("start.refused", job=call.name.job, reason=error.reason)
             if error.reason == "fence" and call.fence >= self._runs.fence:
-                decisions.bump_fence(self._runs, steady_time())
-            decisions.start_refused(self._runs, call.name, error.reason)
+                worker_runs.bump_fence(self._runs, steady_time())
+            worker_starts.start_refused(self._runs, call.name, error.reason)
         except WorkerUnavailable as error:
             self._log.warning("start.unanswered", job=call.name.job, reason=str(error))
-            decisions.start_unanswered(self._runs, call.name, steady_time())
+            worker_starts.start_unanswered(self._runs, call.name, steady_time())
             self._look.set()
         else:
-            decisions.start_confirmed(self._runs, call.name, steady_time())
+            worker_starts.start_confirmed(self._runs, call.name, steady_time())
         self._carry_out()
 
     async def _stop(self, call):
@@ -243,7 +245,7 @@
         """Keep the lease and learn of ends, as long as there is a worker."""
         while True:
             now = steady_time()
-            call = decisions.next_hold(self._runs, now)
+            call = worker_lists.next_hold(self._runs, now)
             self._carry_out()
             if call is None:
                 await asyncio.sleep(HOLD_RETRY_S)
@@ -257,7 +259,7 @@
             except WorkerRefused as error:
                 self._log.warning("hold.refused", reason=error.reason)
                 if error.reason == "fence":
-                    decisions.bump_fence(self._runs, steady_time())
+                    worker_runs.bump_fence(self._runs, steady_time())
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
             except WorkerUnavailable as error:
@@ -265,7 +267,7 @@
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
             was_synced = self._runs.is_synced
-            decisions.held(self._runs, call, result, steady_time())
+            worker_lists.held(self._runs, call, result, steady_time())
             if self._runs.asks_for_former_shards and self._learning is None:
                 learning = self._learn_former_shards()
                 self._learning = start_task(learning, "former shards", self.failed)
@@ -286,7 +288,7 @@
                 self._log.warning("agent.former_shards_unknown", reason=str(error))
                 await asyncio.sleep(FORMER_SHARDS_RETRY_S)
         self._log.info("agent.former_shards", shards=sorted(former))
-        decisions.former_shards_learned(self._runs, former)
+        worker_leases.former_shards_learned(self._runs, former)
         self._carry_out()
 
     async def _read_former_shards(self):
@@ -346,7 +348,7 @@
             self._settings.node,
             self._boot,
             self._settings.failure_domain,
-            decisions.worker_report(self._runs),
+            worker_runs.worker_report(self._runs),
         )
 
     def _opened(self, stream, first, key):
@@ -362,7 +364,7 @@
         self._log.info("entry.connected", entry=key)
         self._received(stream, [first])
         # The worker may have changed while the greeting was under way.
-        report = decisions.worker_report(self._runs)
+        report = worker_runs.worker_report(self._runs)
         self._links.send(stream, wire.WorkerChanged(report))
         self._request_grant(link, steady_time())
         self._links.flush()
@@ -371,7 +373,7 @@
         link = self._entries.get(self._by_stream.pop(stream, None))
         if link is not None and link.stream == stream:
             link.stream = None
-        decisions.stream_closed(self._runs, stream)
+        worker_leases.stream_closed(self._runs, stream)
         self._log.info("entry.disconnected", reason=reason)
 
     def _received(self, stream, messages):
@@ -392,14 +394,14 @@
                     link.answered_at = now
                 elif message.shards:
                     self._request_grant(link, now)
-                decisions.granted(runs, stream, message, sent_at, now)
+                worker_leases.granted(runs, stream, message, sent_at, now)
             case wire.StartRuns():
-                if decisions.start_runs(runs, stream, message, now):
+                if worker_starts.start_runs(runs, stream, message, now):
                     link.room = None  # report it at once
             case wire.StopRuns():
-                decisions.stop_runs(runs, stream, message, now)
+                worker_starts.stop_runs(runs, stream, message, now)
             case wire.NoteEnds():
-                decisions.note_ends(runs, message.life, message.numbers)
+                worker_leases.note_ends(runs, message.life, message.numbers)
                 if not runs.ends:
                     self._noted.set()
 
@@ -419,15 +421,15 @@
                 if now - link.answered_at > SILENT_S:
                     self._log.warning("entry.silent", entry=address)
                     stream, link.stream = link.stream, None
-                    decisions.stream_closed(self._runs, stream)
+                    worker_leases.stream_closed(self._runs, stream)
                     self._links.drop(stream, "silent")
                     continue
                 self._request_grant(link, now)
-            decisions.check_grants(self._runs, now)
+            worker_leases.check_grants(self._runs, now)
             self._forget_unreachable(now)
             if now >= progress_at:
-                decisions.report_progress(self._runs, now)
-                progress_at = now + decisions.PROGRESS_INTERVAL_S
+                worker_pace.report_progress(self._runs, now)
+                progress_at = now + worker_pace.PROGRESS_INTERVAL_S
             self._carry_out()
 
     async def _report_room(self):
@@ -435,12 +437,12 @@
         while True:
             await asyncio.sleep(ROOM_REPORT_INTERVAL_S)
             if self._runs.life is not None:
-                decisions.start_queued(self._runs, steady_time())
+                worker_starts.start_queued(self._runs, steady_time())
                 self._carry_out()
             for link in self._entries.values():
                 if link.stream is None:
                     continue
-                room = decisions.foreign_use(self._runs, link.stream)
+                room = worker_starts.foreign_use(self._runs, link.stream)
                 if room != link.room:
                     link.room = room
                     self._links.send(link.stream, wire.RoomReport(*room))
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -12,7 +12,7 @@
     WorkerUnavailable,
 )
 from turmericknot.scheduling.jobs import RunEnd
-from turmericknot.scheduling.worker_runs import (
+from turmericknot.scheduling.worker_types import (
     HeldEnd,
     HeldRun,
     HoldResult,
