Keep found ends of stored jobs beyond the former lease

By reading: since an agent drops ends that it found when the former lease has lapsed and the shard has no owner yet, also when the store has told that they belong to stored jobs; with slow starts of the entries the tasks ran again. Change: only an agent that the store could not tell goes on without an owner. The new test fails before.

--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -264,6 +264,15 @@
     assert reasons(order(agent, 100.7, 0)) == []
 
 
+def test_ends_of_stored_jobs_outlast_the_former_lease(agent):
+    """Work that is done must not be done again because a new owner comes late."""
+    restart_beside_an_end(agent, 100.5)
+    worker_leases.former_shards_learned(agent.state, [0])
+    grant(agent, 101.7)
+    agent.hold(101.7)
+    assert worker_lists.next_hold(agent.state, 101.8).last_seen == 0
+
+
 def test_ends_found_are_over_when_the_former_lease_has_lapsed(agent):
     """The store may be away, and with it the owners of the shards of stored jobs."""
     restart_beside_an_end(agent, 100.5)
--- a/turmericknot/scheduling/worker_leases.py
+++ b/turmericknot/scheduling/worker_leases.py
@@ -78,7 +78,7 @@
 
 
 def _former_lease_lapsed(state):
-    """Go on without the owners of what a former process of the agent started.
+    """Go on without the store, which has not told whose ends were found.
 
     The lease of the former process has lapsed and none has been given since. The ends
     listed before count as lost for good, so that noting them later cannot make a
@@ -86,6 +86,8 @@
     """
     if not state.is_synced and state.life is None:
         runs_known(state)
+    if state.former_shards is not None:
+        return
     for number in list(state.found_ends):
         shard, _ = state.ends.get(number, (None, None))
         if shard not in state.shards:
