Recall the worker of the former process from the store

Change: an agent stores what it knows of its worker, on changes only; its next process reads that, asks the worker for its clock, looks at the lists, and trusts the rest for 1.9 s. A life that is over answers 421 or lists another born.

--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -8,22 +8,7 @@
 
 from turmericknot.core.exceptions import CallAnswerLost
 
-from .platform_site import job_body, platform_site
-
-
-@pytest.fixture
-def run_site(tmp_path):
-    """Run ``test(site)`` on a site; no task may ever run twice at the same time."""
-
-    def run(test, **size):
-        async def main():
-            async with platform_site(tmp_path, **size) as site:
-                await test(site)
-                assert site.violations == []
-
-        asyncio.run(main())
-
-    return run
+from .platform_site import job_body
 
 
 def job(number):
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -103,8 +103,14 @@
 
     def report(self, now, usable=True, born=1):
         """Let the worker report itself."""
+        return worker_runs.worker_reported(
+            self.state, self.life(now, usable, born), now
+        )
+
+    def life(self, now, usable=True, born=1):
+        """Return the worker's life as it would report it now."""
         self.sequence += 1
-        life = WorkerLife(
+        return WorkerLife(
             id=f"i-{self.name}",
             born=born,
             service="s",
@@ -117,7 +123,6 @@
             clock_at=now,
             sequence=self.sequence,
         )
-        return worker_runs.worker_reported(self.state, life, now)
 
     def hold(self, now):
         """Look at the worker once."""
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -5,6 +5,7 @@
 from turmericknot.scheduling import (
     worker_leases,
     worker_lists,
+    worker_runs,
     worker_starts,
     worker_types,
 )
@@ -301,6 +302,58 @@
     assert len(agent.stop_calls) == 2
 
 
+def recall(agent, now, usable=True):
+    """Restart the agent and let it recall its worker."""
+    agent.restart(now, reports=False)
+    life = agent.life(now, usable=usable)
+    life.sequence = -1
+    used = worker_runs.worker_recalled(agent.state, life, now)
+    agent.hold(now)
+    grant(agent, now)
+    return used
+
+
+def test_recalled_worker_gets_runs_before_it_reports(agent):
+    """After a restart of all processes each second without workers is lost."""
+    assert recall(agent, 100.5)
+    assert reasons(order(agent, 100.6, 0)) == []
+
+
+def test_recalled_worker_that_stays_silent_is_not_used(agent):
+    """It may drain, or be gone, since the former process stored its record."""
+    recall(agent, 100.5)
+    assert not worker_runs.recall_ended(agent.state, 102.3)
+    assert worker_runs.recall_ended(agent.state, 102.5)
+    grant(agent, 102.5)
+    assert reasons(order(agent, 102.5, 0)) == ["no_worker"]
+    assert agent.report(102.6)
+    assert reasons(order(agent, 102.6, 0)) == []
+
+
+def test_recalled_worker_that_drains_gets_nothing(agent):
+    """The report of the drain was acknowledged by a former process."""
+    recall(agent, 100.5, usable=False)
+    assert reasons(order(agent, 100.6, 0)) == ["no_worker"]
+
+
+def test_report_goes_before_the_record(agent):
+    """The record may be that of an earlier life."""
+    agent.restart(100.5)
+    assert not worker_runs.worker_recalled(agent.state, agent.life(100.6), 100.6)
+    agent.report(100.7)
+    assert not worker_runs.recall_ended(agent.state, 110.0)
+
+
+def test_recalled_life_that_is_over_gets_nothing(agent):
+    """The worker may have restarted under the same id while no agent ran."""
+    agent.restart(100.5, reports=False)
+    life = agent.life(100.5)
+    worker_runs.worker_recalled(agent.state, life, 100.5)
+    call = worker_lists.next_hold(agent.state, 100.5)
+    worker_lists.held(agent.state, call, worker_types.HoldResult(10, 2), 100.5)
+    assert worker_runs.worker_report(agent.state) is None
+
+
 def hold_with_percent(agent, now, percent):
     call = worker_lists.next_hold(agent.state, now)
     rows = [worker_types.HeldRun(name, percent) for name in agent.worker.running]
--- a/tests/standins/fixtures.py
+++ b/tests/standins/fixtures.py
@@ -1,9 +1,13 @@
 """Fixtures for every package that tests against a stand-in."""
 
+import asyncio
+
 import pytest
 
 from tests.standins.processes import running_log_service
+from tests.standins.store import StoreStandin
 from turmericknot.clients.log_client import create_log_client
+from turmericknot.platform.store import create_store
 
 
 @pytest.fixture
@@ -17,3 +21,23 @@
     client = create_log_client(log_service.url)
     yield client
     client.close()
+
+
+@pytest.fixture
+def run_with_store():
+    """Run ``test(store, standin)`` on a loop with a store over real sockets."""
+
+    def run(test):
+        async def main():
+            standin = StoreStandin()
+            await standin.start()
+            store = create_store(standin.address, standin.partitions)
+            try:
+                await test(store, standin)
+            finally:
+                store.close()
+                standin.server.stop()
+
+        asyncio.run(main())
+
+    return run
--- a/tests/standins/leased_worker.py
+++ b/tests/standins/leased_worker.py
@@ -16,6 +16,7 @@
 
 REPORT_INTERVAL_S = 0.3
 HOLD_MAX_MS = 1000
+EXPECT_HEADER = "x-turmericknot-expect-instance"
 
 
 class LeasedWorker:
@@ -36,6 +37,7 @@
         self.began = time.monotonic()
         self.sequence = 0
         self.state = "ready"
+        self.is_silent = False  # sends no reports
         self.changed = asyncio.Event()
         self.server = create_http_server(self.handle)
         self.address = ""
@@ -54,6 +56,9 @@
         client = create_http_client(agent_address)
         asyncio.get_running_loop().create_task(self._watch_lease())
         while True:
+            if self.is_silent:
+                await asyncio.sleep(REPORT_INTERVAL_S)
+                continue
             self.sequence += 1
             body = {
                 "service": "service",
@@ -85,6 +90,8 @@
                     self._end(task, "lapsed")
 
     async def handle(self, request):
+        if request.headers.get(EXPECT_HEADER, self.name) != self.name:
+            return Response(421)
         body = msgspec.json.decode(request.body)
         fence = body.get("fence_token", 0)
         if fence < self.fence:
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -40,6 +40,7 @@
 from .metrics import start_metrics
 from .registration import FORGET_AFTER_S, STALE_AFTER_S, decode_registration
 from .tasks import start_task
+from .worker_memory import create_worker_memory
 
 GRANT_INTERVAL_S = 0.25
 ROOM_REPORT_INTERVAL_S = 0.03
@@ -91,6 +92,7 @@
         "_noted",
         "_starting",
         "_learning",
+        "_memory",
     )
 
     def __init__(self, settings):
@@ -118,6 +120,7 @@
         self._noted = asyncio.Event()
         self._starting = asyncio.Semaphore(MAX_STARTS_AT_ONCE)
         self._learning = None  # the task that asks for the former shards
+        self._memory = create_worker_memory(self._store, settings.node)
 
     def failed(self, name):
         """End the process: one of its tasks has failed."""
@@ -135,6 +138,8 @@
         await server.start(self._settings.reports_address)
         await start_metrics(self._settings.metrics_address, self._read_metrics)
         self._log.info("agent.started", boot=self._boot)
+        start_task(self._recall_worker(), "recall", self.failed)
+        start_task(self._memory.run(), "memory", self.failed)
         start_task(self._hold(), "hold", self.failed)
         start_task(self._find_entries(), "entries", self.failed)
         start_task(self._request_grants(), "grants", self.failed)
@@ -175,6 +180,7 @@
         now = steady_time()
         if request.method == "DELETE":
             if worker_runs.worker_left(self._runs, worker_id, now):
+                self._memory.remember(None)
                 self._tell_worker()
                 self._carry_out()
             return Response(200)
@@ -188,7 +194,9 @@
             self._log.warning("report.refused", reason=str(error))
             return Response(400)
         if worker_runs.worker_reported(self._runs, life, now):
+            self._look.set()
             self._tell_worker()
+        self._memory.remember(self._runs.life)
         self._carry_out()
         return Response(200, b"{}")
 
@@ -241,6 +249,35 @@
             # The owner repeats the order until the end is reported.
             self._log.warning("stop.failed", job=call.name.job, reason=str(error))
 
+    async def _recall_worker(self):
+        """Go on with the worker of a former process before it reports itself."""
+        while not self._runs.has_heard:
+            try:
+                life = await self._memory.recall()
+                break
+            except StoreError as error:
+                self._log.warning("worker.recall_failed", reason=str(error))
+                await asyncio.sleep(RETRY_S)
+            except MessageError as error:
+                self._log.warning("worker.recall_failed", reason=str(error))
+                return
+        else:
+            return
+        if life is None or life.service != self._settings.service:
+            return
+        if not life.born:
+            return  # its lists would not tell a later life under the same id
+        try:
+            life.clock = await self._worker.ask_clock(life)
+        except (WorkerRefused, WorkerUnavailable) as error:
+            # Another life, or none: the worker's report tells more.
+            self._log.info("worker.recall_failed", reason=str(error))
+            return
+        life.clock_at = steady_time()
+        if worker_runs.worker_recalled(self._runs, life, life.clock_at):
+            self._look.set()
+        self._carry_out()
+
     async def _hold(self):
         """Keep the lease and learn of ends, as long as there is a worker."""
         while True:
@@ -248,7 +285,8 @@
             call = worker_lists.next_hold(self._runs, now)
             self._carry_out()
             if call is None:
-                await asyncio.sleep(HOLD_RETRY_S)
+                await _wait_for(self._look, HOLD_RETRY_S)
+                self._look.clear()
                 continue
             wait_s = 0.0 if self._look.is_set() else HOLD_WAIT_S
             if not self._runs.is_synced:
@@ -304,11 +342,7 @@
     async def _wait_for_notes(self):
         """Pause while ends are not noted: each look would return at once."""
         self._noted.clear()
-        try:
-            async with asyncio.timeout(NOTE_WAIT_S):
-                await self._noted.wait()
-        except TimeoutError:
-            pass
+        await _wait_for(self._noted, NOTE_WAIT_S)
 
     async def _find_entries(self):
         """Follow in the store where entries listen."""
@@ -426,6 +460,8 @@
                     continue
                 self._request_grant(link, now)
             worker_leases.check_grants(self._runs, now)
+            if worker_runs.recall_ended(self._runs, now):
+                self._tell_worker()
             self._forget_unreachable(now)
             if now >= progress_at:
                 worker_pace.report_progress(self._runs, now)
@@ -449,6 +485,15 @@
             self._links.flush()
 
 
+async def _wait_for(event, seconds):
+    """Wait for the event, for ``seconds`` at most."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        pass
+
+
 def run_agent(settings):
     """Run an agent until it is stopped; return its exit code."""
 
--- a/turmericknot/platform/store.py
+++ b/turmericknot/platform/store.py
@@ -24,6 +24,7 @@
 
 JOBS_TOPIC = "keyed.jobs"
 ENTRIES_TOPIC = "keyed.entries"
+WORKERS_TOPIC = "keyed.workers"
 OPERATOR_TOPIC = "keyed.op"
 GROUP = "entries"
 PRODUCER = "owner"
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -116,6 +116,27 @@
         _check_order(reply)
         return _decode_lists(reply.body)
 
+    async def ask_clock(self, life):
+        """Return the seconds on the worker's clock; change nothing at the worker.
+
+        Raise WorkerRefused when another life answers, or none, and
+        WorkerUnavailable when there is no answer.
+        """
+        body = {"fence_token": 0, "last_seen": 0}
+        reply = await self._order("/hold", body, life)
+        if reply.status == 200:
+            result = _decode_lists(reply.body)
+            if result.born != life.born:
+                raise WorkerRefused("restarted")
+            return result.clock_ms / 1000
+        try:
+            _check_order(reply)
+        except WorkerRefused as refusal:
+            # The worker has seen a fence, and tells its clock with the refusal.
+            if refusal.reason != "fence" or not refusal.clock_ms:
+                raise
+            return refusal.clock_ms / 1000
+
     async def _order(self, path, body, life, wait_s=0.0):
         headers = (
             ("Content-Type", "application/json"),
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -17,6 +17,9 @@
 WORKER_CLOCK_ERROR = 1.02
 # Between the end of a lease and the moment from which it is taken as over.
 LAPSE_MARGIN_S = 0.1
+# How long a worker that has not reported itself is taken as it last was. Reports come
+# every 1.5 s; a worker that drains must get nothing 2 s after it has said so.
+RECALL_S = 1.9
 
 
 class WorkerRuns:
@@ -38,6 +41,8 @@
         "synced_after",
         "found_ends",
         "former_shards",
+        "has_heard",
+        "recalled_until",
         "commands",
     )
 
@@ -61,6 +66,8 @@
         # Shards of stored jobs of which former processes may have started runs here;
         # None until the store has told.
         self.former_shards = None
+        self.has_heard = False  # of the worker, by a report of its own
+        self.recalled_until = 0.0  # how long a recalled worker is taken as it was
         self.commands = []
 
     @property
@@ -103,12 +110,42 @@
     )
 
 
+def worker_recalled(state, life, now):
+    """Take what a former process knew of the worker, until it reports itself.
+
+    ``life`` holds the clock that the worker has just told. Return whether it is used.
+
+    Answers the restart of all processes at once: workers report themselves every
+    1.5 s only, and what is known late starts late.
+    """
+    if state.has_heard or state.life is not None:
+        return False
+    state.life = life
+    state.recalled_until = now + RECALL_S
+    bump_fence(state, now)
+    log(state, "worker.recalled", life=life.key, service=life.service)
+    return True
+
+
+def recall_ended(state, now):
+    """Stop using a recalled worker that has not reported; return whether it was."""
+    life = state.life
+    if state.has_heard or life is None or not life.usable:
+        return False
+    if now < state.recalled_until:
+        return False
+    life.usable = False
+    log(state, "worker.silent", life=life.key)
+    return True
+
+
 def worker_reported(state, life, now):
     """Take what the worker says of itself; return whether owners must hear it."""
     former = state.life
     if former is not None and former.key == life.key:
         if life.sequence <= former.sequence:
             return False
+        state.has_heard = True
         changed = (former.usable, former.cpu, former.memory, former.labels) != (
             life.usable,
             life.cpu,
@@ -119,6 +156,7 @@
         return changed
     if former is not None and life.born < former.born:
         return False  # a late report of an earlier life
+    state.has_heard = True
     _end_life(state, "worker restarted")
     state.life = life
     bump_fence(state, now)
@@ -130,6 +168,7 @@
     """Note that the worker has ended; return whether it was the present one."""
     if state.life is None or state.life.id != life_id:
         return False
+    state.has_heard = True
     _end_life(state, "worker left")
     state.life = None
     return True
