--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -140,6 +140,23 @@
     assert 3 in {name.index for name in agent.worker.running}
 
 
+def test_small_run_does_not_pass_a_more_urgent_one(agent):
+    """At the crest of a load small tasks would take all room that becomes free."""
+    order(agent, 100.0, 0, 1)
+    life = agent.state.life.key
+    for index, priority, cpu in ((2, 0, 1500), (3, 1, 900)):
+        start = wire.RunStart(
+            "00000000000000a1", 0, index, 1, cpu, 64, 0, "x", priority, patience=0.15
+        )
+        message = wire.StartRuns(SHARD, 1, life, [start])
+        worker_starts.start_runs(agent.state, STREAM, message, 100.0)
+    for now in (100.05, 100.1):
+        agent.worker.end(next(iter(agent.worker.running)))
+        agent.hold(now)
+        agent.carry_out(now)
+    assert {name.index for name in agent.worker.running} == {2}
+
+
 def test_no_run_on_a_draining_worker(agent):
     """A worker about to leave must get nothing once its report is acknowledged."""
     agent.report(100.1, usable=False)
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -215,6 +215,7 @@
         run=end.name.run,
         how=RunEnd(end.how).name.lower(),
         number=end.number,
+        ran_ms=round(end.run_ms),
     )
     send(state, shard, RunsEnded(shard, state.life.key, [end]))
 
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -1,5 +1,7 @@
 """Orders of owners to start and stop runs, and the room for them."""
 
+import math
+
 from turmericknot.wire.shard_messages import EndedRun, RefusedRun, RunName, RunsRefused
 
 from .jobs import RunEnd
@@ -39,20 +41,25 @@
     """Start the runs that wait for room, the most urgent first.
 
     Answers a worker that several owners fill at the same moment: room that becomes
-    free is used at once, and by the most urgent run.
+    free is used at once, and by the most urgent run. Room that is too small for it is
+    kept until more becomes free; smaller runs of a lower priority would use it up for
+    ever.
     """
     queued = [run for run in state.runs.values() if run.order is not None]
     queued.sort(key=lambda run: (run.order.priority, run.due_at))
+    waiting_priority = math.inf  # of the most urgent run that does not fit
     for run in queued:
         known = state.shards.get(run.shard)
         if known is None or now >= known.expires_at - STOP_LEAD_S:
             start_refused(state, run.name, "no_grant")
         elif not state.life.usable or state.is_leaving:
             start_refused(state, run.name, "no_worker")
-        elif _has_room(state, run):
+        elif run.order.priority <= waiting_priority and _has_room(state, run):
             _call_start(state, run, now)
         elif now - run.queued_at > run.order.patience:
             start_refused(state, run.name, "room")
+        else:
+            waiting_priority = min(waiting_priority, run.order.priority)
 
 
 def _has_room(state, run):
