Let urgent tasks wait at the worker with the least ahead of them

Change: among full workers the one with the least work ahead, weighted by its speed. The new test fails before.

--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -54,6 +54,17 @@
     assert choose(views, task) is None
 
 
+def test_urgent_task_waits_where_least_is_ahead_of_it():
+    """All owners would let their urgent tasks wait at the fastest workers."""
+    fast, slow = create_view("fast", cpu=10_000), create_view("slow", cpu=10_000)
+    fast.speed, slow.speed = 0.8, 1.2
+    fast.foreign_cpu, slow.foreign_cpu = 11_000, 10_000
+    assert choose([fast, slow], create_task(priority=0)) == "fast"
+    fast.foreign_cpu, slow.foreign_cpu = 11_000, 9_500
+    slow.speed = 0.9
+    assert choose([fast, slow], create_task(priority=0)) == "slow"
+
+
 def test_rack_of_the_data_is_preferred():
     """Away from its data a task takes several times as long."""
     views = [create_view("a"), create_view("b", labels=("a", "r2-1"))]
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -153,12 +153,15 @@
             continue
         if spec.max_per_worker and not _below_limit(agent, task, spec.max_per_worker):
             continue
+        is_full = bool(ahead) and not fits(agent, spec)
+        usage = (agent.used_cpu + agent.foreign_cpu) / (worker.cpu or 1)
         score = (
-            ahead and not fits(agent, spec),
+            is_full,
             agent.id in task.avoid,
             bool(spec.data_rack) and spec.data_rack not in worker.labels,
-            round(agent.speed / SPEED_STEP),
-            (agent.used_cpu + agent.foreign_cpu) / (worker.cpu or 1),
+            0 if is_full else round(agent.speed / SPEED_STEP),
+            # At a full worker, the wait for room grows with what is ahead of it.
+            usage * agent.speed if is_full else usage,
         )
         if best is None or score < best_score:
             best, best_score = agent, score
