Answer an order to stop at an agent that knows no worker

Change: such an end names no life; it has no number, so nothing is to be noted. The new test fails before.

--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -124,6 +124,19 @@
     assert agent.worker.running == {}
 
 
+def test_order_to_stop_at_an_agent_without_worker():
+    """A restarted agent that knows no worker yet must answer, not fail."""
+    agent = Agent("a")
+    agent.restart(100.0, reports=False)
+    grant(agent, 100.0)
+    name = wire.RunName("00000000000000a1", 0, 0, 1)
+    worker_starts.stop_runs(
+        agent.state, STREAM, wire.StopRuns(SHARD, 1, [name]), 100.1
+    )
+    ((_, ended),) = agent.carry_out(100.1)
+    assert [end.name for end in ended.ends] == [name]
+
+
 def test_most_urgent_of_the_queued_runs_begins_first(agent):
     """Short urgent work must not wait behind long work on a full worker."""
     order(agent, 100.0, 0, 1)
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -217,7 +217,9 @@
         number=end.number,
         ran_ms=round(end.run_ms),
     )
-    send(state, shard, RunsEnded(shard, state.life.key, [end]))
+    # Without a worker the end has no number that could be noted.
+    life = state.life.key if state.life is not None else ""
+    send(state, shard, RunsEnded(shard, life, [end]))
 
 
 def send(state, shard, message):
