Survive a worker that restarts under its id; fuzz the roles against an oracle

Cause: the new stateful fuzzer (owners, agents, workers and a store in memory, random walks, an oracle for what callers and workers must never see) found four faults around a worker that begins a new life under the id of the former one, as the platform allows: 1. An agent raises its fence with the clock of the former life. Now refused fences are passed in doubling steps. 2. Now a run that no list has shown is decided by the first look at the new life. 3. Now it is sent once. 4. Now they stop there. test_restarted_worker_has_lost_its_runs expected every run to be lost at once; it now looks at the worker first, and two tests hold the cases of listed and unlisted runs apart.

--- a/Makefile
+++ b/Makefile
@@ -48,4 +48,4 @@
 
 # Random walks from a printed random seed; FUZZ_SEED=... repeats a run.
 fuzz: install
-	FUZZ_LONG=$(FUZZ_LONG) $(BIN)/python -m pytest -s --timeout=0 tests/fuzz/test_fuzz.py -k long
+	FUZZ_LONG=$(FUZZ_LONG) $(BIN)/python -m pytest -s --timeout=0 tests/fuzz tests/scheduling/fuzz -k long
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -130,9 +130,7 @@
     agent.restart(100.0, reports=False)
     grant(agent, 100.0)
     name = wire.RunName("00000000000000a1", 0, 0, 1)
-    worker_starts.stop_runs(
-        agent.state, STREAM, wire.StopRuns(SHARD, 1, [name]), 100.1
-    )
+    worker_starts.stop_runs(agent.state, STREAM, wire.StopRuns(SHARD, 1, [name]), 100.1)
     ((_, ended),) = agent.carry_out(100.1)
     assert [end.name for end in ended.ends] == [name]
 
@@ -277,6 +275,7 @@
 def test_restarted_worker_has_lost_its_runs(agent):
     """An owner must hear at once that its runs are gone."""
     order(agent, 100.0, 0)
+    agent.hold(100.1)
     agent.worker.running.clear()
     agent.report(100.2, born=2)
     ends = [
@@ -289,6 +288,69 @@
     assert not agent.report(100.3, born=1)  # a late report of the former life
 
 
+def test_run_of_the_next_life_is_not_lost(agent):
+    """A start may reach a life that has begun under the same id, unknown to the agent.
+
+    The owner that hears of its loss would start the task a second time.
+    """
+    order(agent, 100.0, 0)
+    agent.report(100.2, born=2)
+    assert agent.carry_out(100.2) == []
+    result = worker_types.HoldResult(
+        100_200, 2, [worker_types.HeldRun(name, 1) for name in agent.worker.running]
+    )
+    call = worker_lists.next_hold(agent.state, 100.2)
+    worker_lists.held(agent.state, call, result, 100.2)
+    assert agent.carry_out(100.2) == []
+    assert len(agent.state.runs) == 1
+
+
+def test_run_that_the_next_life_does_not_list_is_lost(agent):
+    """A start that only the former life has seen must run elsewhere."""
+    order(agent, 100.0, 0)
+    agent.report(100.2, born=2)
+    call = worker_lists.next_hold(agent.state, 100.2)
+    worker_lists.held(agent.state, call, worker_types.HoldResult(10, 2), 100.2)
+    assert reasons(agent.carry_out(100.2)) == ["answer_lost"]
+
+
+def test_ends_are_forgotten_once(agent):
+    """A life that has begun under the same id would forget ends of its own."""
+    order(agent, 100.0, 0)
+    agent.worker.end(next(iter(agent.worker.running)))
+    agent.hold(100.1)
+    worker_leases.note_ends(agent.state, agent.state.life.key, [1])
+    assert agent.hold(100.2).last_seen == 1
+    assert agent.hold(100.3).last_seen == 0
+
+
+def test_life_that_a_later_one_has_answered_for_gets_nothing(agent):
+    """Its starts and notes would reach the later life, whose ends are not known."""
+    order(agent, 100.0, 0)
+    call = worker_lists.next_hold(agent.state, 100.1)
+    worker_lists.held(agent.state, call, worker_types.HoldResult(10, 2), 100.1)
+    agent.carry_out(100.1)
+    assert not worker_runs.worker_report(agent.state).usable
+    assert reasons(order(agent, 100.1, 1)) == ["no_worker"]
+    assert worker_lists.next_hold(agent.state, 100.1).last_seen == 0
+    agent.report(100.2, born=2)
+    assert worker_runs.worker_report(agent.state).usable
+
+
+def test_fence_passes_one_that_the_worker_does_not_tell(agent):
+    """A worker that has restarted may have seen a fence far ahead of its clock."""
+    agent.restart(100.5)
+    seen = agent.state.fence + 300_000
+    refusals = 0
+    while agent.state.fence < seen:
+        worker_runs.fence_refused(agent.state, 100.5)
+        refusals += 1
+    assert refusals < 12
+    agent.hold(100.6)
+    worker_runs.fence_refused(agent.state, 100.6)
+    assert agent.state.fence < seen + 400_000
+
+
 def test_fence_rises_with_every_process(agent):
     """Orders of a former process of the agent must not be carried out any more."""
     before = agent.state.fence
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -232,7 +232,7 @@
         except WorkerRefused as error:
             self._log.info("start.refused", job=call.name.job, reason=error.reason)
             if error.reason == "fence" and call.fence >= self._runs.fence:
-                worker_runs.bump_fence(self._runs, steady_time())
+                worker_runs.fence_refused(self._runs, steady_time())
             worker_starts.start_refused(self._runs, call.name, error.reason)
         except WorkerUnavailable as error:
             self._log.warning("start.unanswered", job=call.name.job, reason=str(error))
@@ -297,19 +297,19 @@
             except WorkerRefused as error:
                 self._log.warning("hold.refused", reason=error.reason)
                 if error.reason == "fence":
-                    worker_runs.bump_fence(self._runs, steady_time())
+                    worker_runs.fence_refused(self._runs, steady_time())
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
             except WorkerUnavailable as error:
                 self._log.warning("hold.unanswered", reason=str(error))
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
-            was_synced = self._runs.is_synced
+            before = self._runs.is_synced, self._runs.is_outdated
             worker_lists.held(self._runs, call, result, steady_time())
             if self._runs.asks_for_former_shards and self._learning is None:
                 learning = self._learn_former_shards()
                 self._learning = start_task(learning, "former shards", self.failed)
-            if not was_synced and self._runs.is_synced:
+            if before != (self._runs.is_synced, self._runs.is_outdated):
                 self._tell_worker()
             self._carry_out()
             if self._runs.ends:
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -5,7 +5,7 @@
 from .jobs import RunEnd
 from .worker_leases import check_grants, lease_deadline_ms, runs_known
 from .worker_pace import check_progress
-from .worker_runs import former_shard, log, report_end, stop_run
+from .worker_runs import FENCE_STEP, former_shard, log, report_end, stop_run
 from .worker_starts import start_confirmed, start_queued, start_refused
 from .worker_types import HoldCall, Run
 
@@ -19,7 +19,11 @@
         return None
     check_grants(state, now)
     deadline_ms = lease_deadline_ms(state, now)
-    return HoldCall(state.fence, state.last_seen, deadline_ms, state.life, now)
+    # A number that the worker has heard is not sent again: a life that has begun
+    # under the same id would forget ends of its own.
+    is_news = state.last_seen > state.forgotten_to and not state.is_outdated
+    last_seen = state.last_seen if is_news else 0
+    return HoldCall(state.fence, last_seen, deadline_ms, state.life, now)
 
 
 def held(state, call, result, now):
@@ -27,7 +31,10 @@
     if state.life is None or call.life.key != state.life.key:
         return
     if result.born is not None and result.born != state.life.born:
-        return  # the worker has restarted: its next report tells more
+        _note_restart(state, result.born)
+        return
+    state.fence_step = FENCE_STEP
+    state.forgotten_to = max(state.forgotten_to, call.last_seen)
     state.life.clock = result.clock_ms / 1000
     state.life.clock_at = now
     present = {}
@@ -36,6 +43,7 @@
         if row.name not in state.runs:
             _take_unknown_run(state, row.name, now)
         start_confirmed(state, row.name, now)
+        state.runs[row.name].is_listed = True
         _stop_found_again(state, state.runs[row.name], now)
         check_progress(state, state.runs[row.name], row.percent, now)
     for row in result.ended:
@@ -48,6 +56,13 @@
     start_queued(state, now)
 
 
+def _note_restart(state, born):
+    """Use the worker no more until its report tells of the life that has begun."""
+    if born > state.life.born and not state.is_outdated:
+        state.is_outdated = True
+        log(state, "worker.outdated", life=state.life.key, born=born)
+
+
 def _take_unknown_run(state, name, now):
     """Stop a run that a former process of this agent has started, or a late one.
 
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -17,6 +17,8 @@
 WORKER_CLOCK_ERROR = 1.02
 # Between the end of a lease and the moment from which it is taken as over.
 LAPSE_MARGIN_S = 0.1
+# First step, in ms of the worker's clock, above a fence that was refused.
+FENCE_STEP = 1000
 # How long a worker that has not reported itself is taken as it last was. Reports come
 # every 1.5 s; a worker that drains must get nothing 2 s after it has said so.
 RECALL_S = 1.9
@@ -31,16 +33,19 @@
         "hold_max_s",
         "life",
         "fence",
+        "fence_step",
         "shards",
         "runs",
         "ends",
         "highest_end",
+        "forgotten_to",
         "lease_until",
         "is_leaving",
         "is_synced",
         "synced_after",
         "found_ends",
         "former_shards",
+        "is_outdated",
         "has_heard",
         "recalled_until",
         "commands",
@@ -52,10 +57,12 @@
         self.hold_max_s = hold_max_s
         self.life = None
         self.fence = 0
+        self.fence_step = FENCE_STEP
         self.shards = {}
         self.runs = {}
         self.ends = {}  # number -> (shard, EndedRun), until it is noted
         self.highest_end = 0  # number of the last end that the worker listed
+        self.forgotten_to = 0  # number of the last end that the worker has forgotten
         self.lease_until = 0.0
         self.is_leaving = False
         # Whether all runs that a former process of the agent left have ended: the
@@ -66,6 +73,7 @@
         # Shards of stored jobs of which former processes may have started runs here;
         # None until the store has told.
         self.former_shards = None
+        self.is_outdated = False  # a later life of the worker has answered
         self.has_heard = False  # of the worker, by a report of its own
         self.recalled_until = 0.0  # how long a recalled worker is taken as it was
         self.commands = []
@@ -98,7 +106,7 @@
     life = state.life
     if life is None or not state.is_synced:
         return None
-    usable = life.usable and not state.is_leaving
+    usable = life.usable and not state.is_leaving and not state.is_outdated
     return WorkerReport(
         life.key,
         life.service,
@@ -157,7 +165,7 @@
     if former is not None and life.born < former.born:
         return False  # a late report of an earlier life
     state.has_heard = True
-    _end_life(state, "worker restarted")
+    _end_life(state, "worker restarted", life.id)
     state.life = life
     bump_fence(state, now)
     log(state, "worker.started", life=life.key, service=life.service)
@@ -169,30 +177,56 @@
     if state.life is None or state.life.id != life_id:
         return False
     state.has_heard = True
-    _end_life(state, "worker left")
+    _end_life(state, "worker left", "")
     state.life = None
     return True
 
 
-def _end_life(state, reason):
-    """Report the runs of a life of the worker that is over."""
+def _end_life(state, reason, next_id):
+    """Report the runs of a life of the worker that is over.
+
+    A life that begins under the same id takes orders for the former one. A run that
+    no list has shown yet may be there; the next look tells.
+    """
     if state.life is None:
         return
     log(state, "worker.ended", life=state.life.key, reason=reason)
-    for run in list(state.runs.values()):
-        report_end(state, run.shard, EndedRun(run.name, 0, RunEnd.LOST))
-    state.runs.clear()
+    for name, run in list(state.runs.items()):
+        if next_id == state.life.id and run.order is None and not run.is_listed:
+            run.is_confirmed = False
+            run.is_doubtful = True
+            run.fence = state.fence
+            continue
+        del state.runs[name]
+        report_end(state, run.shard, EndedRun(name, 0, RunEnd.LOST))
     state.ends.clear()
     state.found_ends.clear()
     state.highest_end = 0
+    state.forgotten_to = 0
+    state.is_outdated = False
     state.lease_until = 0.0
 
 
 def bump_fence(state, now):
-    """Raise the fence, so that no order sent before can be carried out."""
+    """Raise the fence, so that no order sent before can be carried out.
+
+    The fence follows the worker's clock: that of a later process of the agent is
+    higher without having been stored.
+    """
     state.fence = max(state.fence + 1, int(worker_clock(state, now) * 1000))
 
 
+def fence_refused(state, now):
+    """Raise the fence above one that the worker has seen and does not tell.
+
+    Answers a worker that has restarted under its id, and with it its clock: it has
+    seen a fence from the clock of its former life. The steps double until it answers.
+    """
+    bump_fence(state, now)
+    state.fence += state.fence_step
+    state.fence_step *= 2
+
+
 def worker_clock(state, now):
     """Return a time on the worker's clock that has certainly come, in seconds."""
     return state.life.clock + (now - state.life.clock_at)
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -58,6 +58,7 @@
     fence: int = 0
     is_confirmed: bool = False
     confirmed_at: float = 0.0
+    is_listed: bool = False  # a look has shown it
     is_doubtful: bool = False  # the answer to its start was lost
     is_stopping: bool = False
     stop_sent_at: float = 0.0
