Take an end for that of the present run only from the agent that has it

A job that is not kept had been handed in twice at one entry; both submissions number their runs from 1. An agent that had come back reported the end of the first submission's run 1, and the owner took it for the run 1 of the second, which ran on another worker: the task was started there a second time. Change: the agent must be the one that has the present run. The directed test fails before.

--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -53,6 +53,19 @@
     assert entry.shard.jobs == {}
 
 
+def test_end_of_an_earlier_submission_is_not_that_of_the_present_run(site):
+    """Runs are numbered anew; the task would run twice at once."""
+    entry = site.entries["entry-0"]
+    entry.hand_in("caller", site.now, job_record=record(tasks=1))
+    site.settle()
+    ((agent_name, name),) = site.running()
+    other = next(agent for agent in site.agents if agent != agent_name)
+    ends = [wire.EndedRun(name, 7, RunEnd.STOPPED)]
+    runs.ended(entry.owner, other, entry.shard.number, "l", ends, site.now)
+    site.advance(0.2)
+    assert site.running() == [(agent_name, name)]
+
+
 def test_runs_stop_at_the_deadline_of_the_caller(site):
     """A caller cut off without a reset must not leave runs behind."""
     entry = site.entries["entry-0"]
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -274,7 +274,7 @@
         note = (agent_id, life, end.number)
         task = _find_task(shard, name)
         if task is None or task.job.shown not in (JobState.ACTIVE, None):
-            if task is not None:
+            if task is not None and task.agent == agent_id:
                 _free_ended(owner, task, name)
                 besteffort.clear_up(owner, task.job, now)
             send_notes(owner, [note])
@@ -291,7 +291,12 @@
 
 def _apply_end(owner, view, task, end, now):
     name, how = end.name, RunEnd(end.how)
-    is_present = task.status is TaskStatus.RUNNING and task.run == name.run
+    # An earlier submission of the job may have had a run of this number elsewhere.
+    is_present = (
+        task.status is TaskStatus.RUNNING
+        and task.run == name.run
+        and task.agent == view.id
+    )
     if task.status is TaskStatus.DONE:
         return
     if how is RunEnd.DONE:
