--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -53,6 +53,7 @@
 expect_starts: "expect" "starts" "on" NAME "stop" "within" duration
 expect_other: "expect" NAME "exits" "within" duration -> expect_exit
           | "expect" "version" "everywhere" "within" duration -> expect_version
+          | "expect" NAME "answers" "within" duration -> expect_answers
 
 duration: NUMBER UNIT
 UNIT: "ms" | "s"
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -328,6 +328,13 @@
     assert run.federation.wait_stopped(name, within_s) == 0
 
 
+@_action("expect_answers")
+def expect_answers(run, name, within_s):
+    run.federation.wait_until(
+        lambda: run.federation.status(name), f"{name} answers", within_s
+    )
+
+
 @_action("expect_version")
 def expect_version(run, within_s):
     def in_force():
