Number the runs of a second submission on

A job that is not kept was handed in twice at one entry. The refusal of the first submission's run 1, held up on a link, was taken for that of the second one's run 1 at the same agent, and the task began elsewhere while it ran there. Change: an entry remembers for 30 s how far the runs of an ended job were numbered.

--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -66,6 +66,20 @@
     assert site.running() == [(agent_name, name)]
 
 
+def test_runs_of_a_second_submission_are_numbered_on(site):
+    """A late refusal of the first submission's run would be taken for the second's."""
+    entry = site.entries["entry-0"]
+    for expected in (1, 2):
+        entry.hand_in("caller", site.now, job_record=record(tasks=1))
+        site.settle()
+        ((_, name),) = site.running()
+        assert name.run == expected
+        besteffort.abandon(entry.owner, entry.shard, JOB, "caller", site.now)
+        site.advance(0.1)
+    site.advance(besteffort.REMEMBER_RUNS_S + 1, step=1.0, renew=True)
+    assert entry.shard.last_runs == {}
+
+
 def test_runs_stop_at_the_deadline_of_the_caller(site):
     """A caller cut off without a reset must not leave runs behind."""
     entry = site.entries["entry-0"]
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -23,6 +23,9 @@
 # Runs are stopped this long before the caller's time is over, so that they have
 # ended when the job is handed in again elsewhere.
 STOP_BEFORE_DEADLINE_S = 0.05
+# How long the runs of an ended job are remembered. Agents repeat what concerns them
+# when they come back, and give up 3 s after the grant of a lost owner.
+REMEMBER_RUNS_S = 30.0
 
 
 def open_unkept_shard(owner, number):
@@ -67,12 +70,39 @@
     job.due_at = now + admission.objective_s(owner.run_times, record)
     job.deadline_at = deadline_at
     job.waiters.append(waiter)
+    _number_after_former(shard, job)
     shard.jobs[job_id] = job
     owner.count("accepted")
     log(owner, "job.accepted", job=job_id, queue=record.queue, shard=shard.number)
     release_steps(owner, job)
 
 
+def _number_after_former(shard, job):
+    """Number the runs above those of an earlier submission.
+
+    Late messages about a run of that number would be taken for the present one's.
+    """
+    former = shard.last_runs.pop(job.id, None)
+    if former is not None:
+        for step in job.tasks:
+            for task in step:
+                task.run = former[0]
+
+
+def _remember_runs(shard, job, now):
+    highest = max((task.run for step in job.tasks for task in step), default=0)
+    if highest:
+        shard.last_runs[job.id] = (highest, now)
+
+
+def forget_runs(shard, now):
+    """Drop what is remembered of jobs that ended long ago."""
+    for job_id, (_, ended_at) in list(shard.last_runs.items()):
+        if now - ended_at < REMEMBER_RUNS_S:
+            return  # the order is that of the ends
+        del shard.last_runs[job_id]
+
+
 def _replace_successor(owner, job, successor):
     if job.successor is not None:
         answer(owner, job.successor[1], Outcome.UNDECIDED, reason="handed in again")
@@ -104,6 +134,7 @@
     if shard.jobs.get(job.id) is not job:
         return
     del shard.jobs[job.id]
+    _remember_runs(shard, job, now)
     if job.successor is not None:
         record, waiter, deadline_at = job.successor
         run_job(owner, shard, job.id, record, waiter, deadline_at, now)
@@ -118,6 +149,7 @@
     for shard in owner.shards.values():
         if shard.is_kept:
             continue
+        forget_runs(shard, now)
         for job in list(shard.jobs.values()):
             if job.state is not JobState.ACTIVE:
                 continue
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -70,6 +70,8 @@
     usable_agents: set = field(default_factory=set)  # stored
     is_closing: bool = False  # about to be handed over: nothing new begins
     is_kept: bool = True  # its jobs are stored
+    # Of jobs that are not kept: id -> (highest run of a task, time of the end).
+    last_runs: dict = field(default_factory=dict)
 
     @property
     def is_recovering(self):
