--- a/tests/scheduling/fuzz/knockouts.py
+++ b/tests/scheduling/fuzz/knockouts.py
@@ -1,8 +1,10 @@
 """Mechanisms of the roles that a walk must miss when they are switched off."""
 
 from turmericknot.scheduling import (
+    job_requests,
     owner as decisions,
     ownership,
+    reports,
     runs,
     worker_lists,
     worker_runs,
@@ -43,13 +45,13 @@
 
 def note_ends_at_once(patch):
     """Ends of stored jobs are noted before the store knows of them."""
-    ended = runs.ended
+    ended = reports.ended
 
     def note_and_end(owner, agent, shard, life, ends, now):
         decisions.send_notes(owner, [(agent, life, end.number) for end in ends])
         ended(owner, agent, shard, life, ends, now)
 
-    patch(runs, "ended", note_and_end)
+    patch(reports, "ended", note_and_end)
 
 
 def orders_of_any_epoch(patch):
@@ -65,28 +67,28 @@
 
 def accept_before_it_is_stored(patch):
     """A job is accepted when its record is on the way to the store."""
-    submit = decisions.submit
+    submit = job_requests.submit
 
     def submit_at_once(owner, shard, job_id, record, waiter, now):
         submit(owner, shard, job_id, record, waiter, now)
         known = owner.shards.get(shard) and owner.shards[shard].jobs.get(job_id)
         if known is not None and not known.is_stored:
-            decisions._submitted(owner, known, now)
+            job_requests._submitted(owner, known, now)
 
-    patch(decisions, "submit", submit_at_once)
+    patch(job_requests, "submit", submit_at_once)
 
 
 def cancel_before_it_is_stored(patch):
     """A cancel is acknowledged while a later owner would not know of it."""
-    cancel = decisions.cancel
+    cancel = job_requests.cancel
 
     def cancel_at_once(owner, shard, job_id, waiter, now):
         cancel(owner, shard, job_id, waiter, now)
         known = owner.shards.get(shard) and owner.shards[shard].jobs.get(job_id)
         if known is not None and known.cancelling:
-            decisions.acknowledge_cancel(owner, known)
+            job_requests.acknowledge_cancel(owner, known)
 
-    patch(decisions, "cancel", cancel_at_once)
+    patch(job_requests, "cancel", cancel_at_once)
 
 
 def offer_worker_unseen(patch):
--- a/tests/scheduling/fuzz/world.py
+++ b/tests/scheduling/fuzz/world.py
@@ -9,8 +9,10 @@
 from tests.scheduling.site import record
 from turmericknot.scheduling import (
     besteffort,
+    job_requests,
     owner as decisions,
     ownership,
+    reports,
     runs,
     worker_leases,
     worker_runs,
@@ -152,14 +154,14 @@
         self.links[entry.name, agent.name] = link
         report = worker_runs.worker_report(agent.state)
         hello = wire.AgentHello(1, agent.name, str(agent.boot), "d", report)
-        runs.agent_connected(entry.owner, hello, self.now)
+        reports.agent_connected(entry.owner, hello, self.now)
         self.request_grant(link)
 
     def cut(self, link):
         """Lose what is under way; both sides notice."""
         self.links.pop((link.entry.name, link.agent.name), None)
         if link.entry.owner is not None:
-            runs.agent_disconnected(link.entry.owner, link.agent.name, self.now)
+            reports.agent_disconnected(link.entry.owner, link.agent.name, self.now)
         if link.agent.state is not None:
             worker_leases.stream_closed(link.agent.state, link.number)
 
@@ -176,22 +178,24 @@
     def _to_entry(self, link, message, sent_at):
         owner, agent, now = link.entry.owner, link.agent.name, self.now
         if message == "grant":
-            runs.grant_requested(owner, agent, 1, now)
+            reports.grant_requested(owner, agent, 1, now)
             for command in [c for c in owner.commands if _is_grant(c, agent)]:
                 owner.commands.remove(command)
                 link.to_agent.append((command.message, sent_at))
             return
         match message:
             case wire.RunsEnded():
-                runs.ended(owner, agent, message.shard, message.life, message.ends, now)
+                reports.ended(
+                    owner, agent, message.shard, message.life, message.ends, now
+                )
             case wire.RunsRefused():
-                runs.refused(owner, agent, message.shard, message.runs, now)
+                reports.refused(owner, agent, message.shard, message.runs, now)
             case wire.ShardInventory():
-                runs.inventory(
+                reports.inventory(
                     owner, agent, message.shard, message.epoch, message.runs, now
                 )
             case wire.WorkerChanged():
-                runs.worker_changed(owner, agent, message.worker, now)
+                reports.worker_changed(owner, agent, message.worker, now)
         runs.schedule(owner, now)
 
     def _to_agent(self, link, message, sent_at):
@@ -278,7 +282,7 @@
                 entry.to_store.appendleft(command)  # the answer is lost: repeated
                 return
             entry.owner.confirmed_at = max(entry.owner.confirmed_at, self.now)
-            decisions.stored(entry.owner, command.token, self.now)
+            job_requests.stored(entry.owner, command.token, self.now)
             runs.schedule(entry.owner, self.now)
             self.flow()
 
@@ -349,7 +353,7 @@
         submission.attempts += 1
         job_record = record(tasks=submission.tasks)
         waiter = ("submit", job_id, None)
-        decisions.submit(entry.owner, SHARD, job_id, job_record, waiter, self.now)
+        job_requests.submit(entry.owner, SHARD, job_id, job_record, waiter, self.now)
         runs.schedule(entry.owner, self.now)
 
     def new_job(self, is_kept, tasks):
@@ -363,7 +367,7 @@
         if entry.owner is None or entry.is_paused:
             return
         waiter = ("status", job_id, None)
-        decisions.status(entry.owner, SHARD, job_id, waiter, self.now)
+        job_requests.status(entry.owner, SHARD, job_id, waiter, self.now)
         self.flow()
 
     def cancel(self, entry, job_id):
@@ -371,7 +375,7 @@
             return
         self.oracle.jobs[job_id].cancels += 1
         waiter = ("cancel", job_id, None)
-        decisions.cancel(entry.owner, SHARD, job_id, waiter, self.now)
+        job_requests.cancel(entry.owner, SHARD, job_id, waiter, self.now)
         self.flow()
 
     def leave(self, caller):
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -2,8 +2,10 @@
 
 from turmericknot.scheduling import (
     besteffort,
+    job_requests,
     owner as decisions,
     ownership,
+    reports,
     runs,
     worker_leases,
     worker_lists,
@@ -182,20 +184,20 @@
         self.stream_of[entry.name, agent.name] = self.streams
         report = worker_runs.worker_report(agent.state)
         hello = wire.AgentHello(1, agent.name, str(agent.boot), "d", report)
-        runs.agent_connected(entry.owner, hello, self.now)
+        reports.agent_connected(entry.owner, hello, self.now)
         self.renew(entry, agent)
 
     def cut(self, entry, agent):
         """Close the stream; both sides notice."""
         stream = self.stream_of.pop((entry.name, agent.name))
         self.links.discard((entry.name, agent.name))
-        runs.agent_disconnected(entry.owner, agent.name, self.now)
+        reports.agent_disconnected(entry.owner, agent.name, self.now)
         worker_leases.stream_closed(agent.state, stream)
 
     def renew(self, entry, agent):
         """Let an agent ask an entry for a grant."""
         self.sequence += 1
-        runs.grant_requested(entry.owner, agent.name, self.sequence, self.now)
+        reports.grant_requested(entry.owner, agent.name, self.sequence, self.now)
 
     def settle(self):
         """Deliver messages until none is left."""
@@ -251,11 +253,13 @@
         now = self.now
         match message:
             case wire.RunsEnded():
-                runs.ended(owner, agent, message.shard, message.life, message.ends, now)
+                reports.ended(
+                    owner, agent, message.shard, message.life, message.ends, now
+                )
             case wire.RunsRefused():
-                runs.refused(owner, agent, message.shard, message.runs, now)
+                reports.refused(owner, agent, message.shard, message.runs, now)
             case wire.ShardInventory():
-                runs.inventory(
+                reports.inventory(
                     owner, agent, message.shard, message.epoch, message.runs, now
                 )
         runs.schedule(owner, now)
@@ -282,7 +286,7 @@
         while entry.to_store:
             commands, entry.to_store = entry.to_store, []
             for command in commands:
-                decisions.stored(entry.owner, command.token, self.now)
+                job_requests.stored(entry.owner, command.token, self.now)
             runs.schedule(entry.owner, self.now)
             self.settle()
 
--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -1,6 +1,6 @@
 """Jobs that are not stored, against callers, agents and entries that vanish."""
 
-from turmericknot.scheduling import besteffort, runs
+from turmericknot.scheduling import besteffort, reports, runs
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.jobs import RunEnd
 from turmericknot.wire import shard_messages as wire
@@ -61,7 +61,7 @@
     ((agent_name, name),) = site.running()
     other = next(agent for agent in site.agents if agent != agent_name)
     ends = [wire.EndedRun(name, 7, RunEnd.STOPPED)]
-    runs.ended(entry.owner, other, entry.shard.number, "l", ends, site.now)
+    reports.ended(entry.owner, other, entry.shard.number, "l", ends, site.now)
     site.advance(0.2)
     assert site.running() == [(agent_name, name)]
 
@@ -189,7 +189,7 @@
     del agent.worker.running[name]
     agent.state.runs.clear()
     refusal = wire.RefusedRun(name, "old")
-    runs.refused(entry.owner, holder, entry.shard.number, [refusal], site.now)
+    reports.refused(entry.owner, holder, entry.shard.number, [refusal], site.now)
     runs.schedule(entry.owner, site.now)
     site.settle()
     ((_, again),) = site.running()
@@ -229,7 +229,7 @@
     site.advance(1.0)
     slow, name = site.running()[0]
     report = wire.RunsProgress(entry.shard.number, 0.2, [wire.RunProgress(name, 20)])
-    runs.progress_reported(entry.owner, slow, report, site.now)
+    reports.progress_reported(entry.owner, slow, report, site.now)
     site.settle()
     site.advance(0.2)
     assert [a for a, n in site.running() if n.index == name.index] != [slow]
@@ -246,7 +246,7 @@
     site.advance(1.0)
     agent, name = site.running()[0]
     report = wire.RunsProgress(entry.shard.number, 0.95, [wire.RunProgress(name, 20)])
-    runs.progress_reported(entry.owner, agent, report, site.now)
+    reports.progress_reported(entry.owner, agent, report, site.now)
     site.advance(0.2)
     assert (agent, name) in site.running()
 
--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from turmericknot.scheduling import owner as decisions, ownership, runs
+from turmericknot.scheduling import job_requests, ownership, runs
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.jobs import RunEnd, agent_key, encode_record
 
@@ -19,12 +19,14 @@
 
 
 def submit(site, entry, waiter="caller", job=JOB, job_record=None):
-    decisions.submit(entry.owner, SHARD, job, job_record or record(), waiter, site.now)
+    job_requests.submit(
+        entry.owner, SHARD, job, job_record or record(), waiter, site.now
+    )
     site.settle()
 
 
 def ask_state(site, entry, job=JOB):
-    decisions.status(entry.owner, SHARD, job, "ask", site.now)
+    job_requests.status(entry.owner, SHARD, job, "ask", site.now)
     site.settle()
     return entry.answers.pop()[1]
 
@@ -63,7 +65,7 @@
     submit(owned, entry)
     (command,) = entry.to_store
     entry.to_store.clear()
-    decisions.not_stored(entry.owner, command.token, owned.now)
+    job_requests.not_stored(entry.owner, command.token, owned.now)
     owned.advance(0.2)
     assert entry.answers == [("caller", Outcome.NOT_READY)]
     assert owned.running() == []
@@ -76,7 +78,7 @@
     submit(owned, entry)
     (command,) = entry.to_store
     entry.to_store.clear()
-    decisions.stored(entry.owner, command.token, owned.now)
+    job_requests.stored(entry.owner, command.token, owned.now)
     owned.advance(0.05)
     assert owned.running() == []
     assert {c.key for c in entry.to_store} == {agent_key(name) for name in owned.agents}
@@ -117,7 +119,7 @@
     """A cancelled job must not go on, and its runs must stop."""
     entry = owned.entries["entry-0"]
     start(owned, entry)
-    decisions.cancel(entry.owner, SHARD, JOB, "cancel", owned.now)
+    job_requests.cancel(entry.owner, SHARD, JOB, "cancel", owned.now)
     owned.settle()
     assert ("cancel", Outcome.CANCELLED) not in entry.answers
     owned.store(entry)
@@ -274,7 +276,7 @@
     items.append((JOB, encode_record(record())))
     owned.cut(entry, owned.agents["agent-1"])
     gain(owned, entry, SHARD, 2, items)
-    decisions.cancel(entry.owner, SHARD, JOB, "cancel", owned.now)
+    job_requests.cancel(entry.owner, SHARD, JOB, "cancel", owned.now)
     owned.settle()
     owned.store(entry)
     assert entry.answers == []
--- a/tools/measure_scheduling.py
+++ b/tools/measure_scheduling.py
@@ -5,7 +5,7 @@
 
 import time
 
-from turmericknot.scheduling import besteffort, owner as decisions, runs
+from turmericknot.scheduling import besteffort, owner as decisions, reports, runs
 from turmericknot.scheduling.commands import SendMessage
 from turmericknot.scheduling.jobs import JobRecord, RunEnd, StepSpec
 from turmericknot.wire import codec, shard_messages as wire
@@ -25,9 +25,9 @@
         name = f"side-{number}"
         worker = wire.WorkerReport("l@1", "s", True, WORKER_CPU, 1 << 20, 0, ["a"])
         hello = wire.AgentHello(1, name, "b", "d", worker)
-        runs.agent_connected(owner, hello, 0.0)
-        runs.grant_requested(owner, name, 1, 0.0)
-        runs.inventory(owner, name, shard.number, 1, [], 0.0)
+        reports.agent_connected(owner, hello, 0.0)
+        reports.grant_requested(owner, name, 1, 0.0)
+        reports.inventory(owner, name, shard.number, 1, [], 0.0)
     owner.take_commands()
     return owner, shard
 
@@ -61,7 +61,7 @@
         name = wire.RunName(run.job, run.step, run.index, run.run)
         end = wire.EndedRun(name, number, RunEnd.DONE, 200.0)
         size += len(codec.encode_message(wire.RunsEnded(shard.number, "l@1", [end])))
-        runs.ended(owner, command.agent, shard.number, "l@1", [end], 0.0)
+        reports.ended(owner, command.agent, shard.number, "l@1", [end], 0.0)
     return size
 
 
--- a/turmericknot/node/appender.py
+++ b/turmericknot/node/appender.py
@@ -9,7 +9,7 @@
     StoreUnavailable,
 )
 from turmericknot.platform.store import JOBS_TOPIC, KeyedRecord
-from turmericknot.scheduling import owner as decisions
+from turmericknot.scheduling import job_requests
 from turmericknot.utils.logging import get_logger
 
 MAX_BATCH_RECORDS = 500
@@ -170,10 +170,10 @@
         self._events.written(self, batch, sent_at)
 
     def _refuse_submissions(self, batch):
-        refused = [c for c in batch if decisions.is_submission(c.token)]
+        refused = [c for c in batch if job_requests.is_submission(c.token)]
         if refused:
             self._events.not_written(refused)
-        return [c for c in batch if not decisions.is_submission(c.token)]
+        return [c for c in batch if not job_requests.is_submission(c.token)]
 
     def _note_success(self):
         if not self._is_available:
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -16,7 +16,14 @@
 from turmericknot.core.ids import incarnation, shard_of
 from turmericknot.platform import jobs as platform_jobs
 from turmericknot.platform.store import ENTRIES_TOPIC, KeyedRecord, create_store
-from turmericknot.scheduling import besteffort, owner as decisions, runs, workers
+from turmericknot.scheduling import (
+    besteffort,
+    job_requests,
+    owner as decisions,
+    reports,
+    runs,
+    workers,
+)
 from turmericknot.scheduling.commands import (
     AnswerRequest,
     LogDecision,
@@ -69,7 +76,7 @@
         owner.confirmed_at = max(owner.confirmed_at, sent_at)
         now = steady_time()
         for command in batch:
-            decisions.stored(owner, command.token, now)
+            job_requests.stored(owner, command.token, now)
         runs.schedule(owner, now)
         self._node.decided()
 
@@ -77,15 +84,15 @@
         """Take records that are certainly not stored."""
         now = steady_time()
         for command in batch:
-            decisions.not_stored(self._node.owner, command.token, now)
+            job_requests.not_stored(self._node.owner, command.token, now)
         self._node.decided()
 
     def undecided(self, batch):
         """Tell callers to ask again about jobs that may be stored."""
         for command in batch:
-            if not decisions.is_submission(command.token):
+            if not job_requests.is_submission(command.token):
                 continue
-            for waiter in decisions.waiters_of(command.token):
+            for waiter in job_requests.waiters_of(command.token):
                 decisions.answer(self._node.owner, waiter, Outcome.UNDECIDED)
         self._node.decided()
 
@@ -183,8 +190,8 @@
         appender = self.membership.appender(command.shard)
         if appender is None:
             return  # the shard was lost
-        if decisions.is_submission(command.token) and not appender.is_available:
-            decisions.not_stored(self.owner, command.token, steady_time())
+        if job_requests.is_submission(command.token) and not appender.is_available:
+            job_requests.not_stored(self.owner, command.token, steady_time())
             return
         appender.add(command)
 
@@ -198,7 +205,7 @@
                 self.links.drop(former, "replaced")
             self._agents[stream] = first.agent
             self._agent_streams[first.agent] = stream
-            runs.agent_connected(self.owner, first, steady_time())
+            reports.agent_connected(self.owner, first, steady_time())
             self.decided()
         elif isinstance(first, wire.PeerGreeting):
             self.links.send(stream, wire.PeerGreeted(self.member))
@@ -210,7 +217,7 @@
         agent = self._agents.pop(stream, None)
         if agent is not None and self._agent_streams.get(agent) == stream:
             del self._agent_streams[agent]
-            runs.agent_disconnected(self.owner, agent, steady_time())
+            reports.agent_disconnected(self.owner, agent, steady_time())
             self.decided()
         self.peers.closed(stream)
 
@@ -229,21 +236,23 @@
         owner, now = self.owner, steady_time()
         match message:
             case wire.GrantRequest():
-                runs.grant_requested(owner, agent, message.sequence, now)
+                reports.grant_requested(owner, agent, message.sequence, now)
             case wire.RunsEnded():
-                runs.ended(owner, agent, message.shard, message.life, message.ends, now)
+                reports.ended(
+                    owner, agent, message.shard, message.life, message.ends, now
+                )
             case wire.RunsRefused():
-                runs.refused(owner, agent, message.shard, message.runs, now)
+                reports.refused(owner, agent, message.shard, message.runs, now)
             case wire.ShardInventory():
-                runs.inventory(
+                reports.inventory(
                     owner, agent, message.shard, message.epoch, message.runs, now
                 )
             case wire.RunsProgress():
-                runs.progress_reported(owner, agent, message, now)
+                reports.progress_reported(owner, agent, message, now)
             case wire.RoomReport():
-                runs.room_reported(owner, agent, message)
+                reports.room_reported(owner, agent, message)
             case wire.WorkerChanged():
-                runs.worker_changed(owner, agent, message.worker, now)
+                reports.worker_changed(owner, agent, message.worker, now)
 
     def _from_peer(self, stream, message):
         owner, now = self.owner, steady_time()
@@ -260,13 +269,15 @@
             case wire.SubmitRequest():
                 waiter = RemoteWaiter(stream, message.request)
                 record = decode_record(message.record)
-                decisions.submit(owner, message.shard, message.job, record, waiter, now)
+                job_requests.submit(
+                    owner, message.shard, message.job, record, waiter, now
+                )
             case wire.StatusRequest():
                 waiter = RemoteWaiter(stream, message.request)
-                decisions.status(owner, message.shard, message.job, waiter, now)
+                job_requests.status(owner, message.shard, message.job, waiter, now)
             case wire.CancelRequest():
                 waiter = RemoteWaiter(stream, message.request)
-                decisions.cancel(owner, message.shard, message.job, waiter, now)
+                job_requests.cancel(owner, message.shard, message.job, waiter, now)
 
     def configure(self, configuration, server):
         """Put a version of the operator's configuration into force."""
--- a/turmericknot/node/requests.py
+++ b/turmericknot/node/requests.py
@@ -6,7 +6,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from turmericknot.scheduling import owner as decisions
+from turmericknot.scheduling import job_requests
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.wire.shard_messages import (
     CancelRequest,
@@ -55,7 +55,7 @@
 
         def ask_here(waiter):
             now = steady_time()
-            decisions.submit(self._node.owner, shard, job_id, record, waiter, now)
+            job_requests.submit(self._node.owner, shard, job_id, record, waiter, now)
 
         def message(number):
             return SubmitRequest(number, shard, job_id, encoded)
@@ -66,7 +66,7 @@
         """Return the Answer with the state of a job."""
 
         def ask_here(waiter):
-            decisions.status(self._node.owner, shard, job_id, waiter, steady_time())
+            job_requests.status(self._node.owner, shard, job_id, waiter, steady_time())
 
         def message(number):
             return StatusRequest(number, shard, job_id)
@@ -77,7 +77,7 @@
         """Cancel a job and return the Answer."""
 
         def ask_here(waiter):
-            decisions.cancel(self._node.owner, shard, job_id, waiter, steady_time())
+            job_requests.cancel(self._node.owner, shard, job_id, waiter, steady_time())
 
         def message(number):
             return CancelRequest(number, shard, job_id)
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -8,15 +8,10 @@
 
 from . import admission
 from .commands import Outcome
+from .job_requests import finish_job, job_refusal
 from .jobs import JobState, TaskStatus, create_job
-from .owner import (
-    Shard,
-    answer,
-    finish_job,
-    job_refusal,
-    log,
-    release_steps,
-)
+from .owner import Shard, answer, log
+from .pending import release_steps
 
 # Numbers from here on name the shards of entries for jobs that are not stored.
 FIRST_UNKEPT_SHARD = 1 << 20
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -1,35 +1,21 @@
-"""State of an entry as the owner of shards, and requests about their jobs."""
+"""State of an entry as the owner of shards, and what it asks the shell to do."""
 
-import math
 from dataclasses import dataclass, field
 from random import Random
 
 from turmericknot.utils import histograms
 from turmericknot.wire.shard_messages import NoteEnds, RunName, ShardEpoch, StopRuns
 
-from . import admission, workers
-from .commands import AnswerRequest, LogDecision, Outcome, SendMessage, StoreRecord
+from . import admission
+from .commands import AnswerRequest, LogDecision, SendMessage, StoreRecord
 from .estimates import create_run_times
-from .jobs import (
-    FailedRun,
-    JobRecord,
-    JobState,
-    TaskStatus,
-    create_job,
-    encode_record,
-)
+from .jobs import FailedRun, JobState, TaskStatus, encode_record
 from .waiting import create_waiting_jobs
 from .worker_runs import GRANT_S
 
 # Runs of a later owner are numbered above those of an earlier one.
 RUNS_PER_EPOCH = 1000
 
-_OUTCOMES = {
-    JobState.SUCCEEDED: Outcome.SUCCEEDED,
-    JobState.FAILED: Outcome.FAILED,
-    JobState.CANCELLED: Outcome.CANCELLED,
-}
-
 
 @dataclass(slots=True)
 class OwnerTimes:
@@ -160,182 +146,6 @@
     owner.commands.append(StoreRecord(job.shard, job.id, value, token))
 
 
-def submit(owner, shard_number, job_id, record, waiter, now):
-    """Accept, refuse or recognise a job that a caller hands in."""
-    shard = owner.shards.get(shard_number)
-    if shard is None or shard.is_closing:
-        answer(owner, waiter, Outcome.NOT_READY, reason="not_owner")
-        return
-    job = shard.jobs.get(job_id)
-    if job is not None:
-        if job.is_stored:
-            answer(owner, waiter, Outcome.ACCEPTED, reason="known")
-        else:
-            job.waiters.append(waiter)
-        return
-    refusal = job_refusal(owner, record, now)
-    if refusal is not None:
-        outcome, delay, reason = refusal
-        owner.count("refused_" + reason)
-        log(owner, "job.refused", job=job_id, queue=record.queue, reason=reason)
-        answer(owner, waiter, outcome, delay, reason)
-        return
-    record.accepted_epoch = shard.epoch
-    job = create_job(job_id, shard_number, record, now)
-    job.due_at = now + admission.objective_s(owner.run_times, record)
-    job.waiters.append(waiter)
-    shard.jobs[job_id] = job
-    store_job(owner, job, (_submitted, job))
-
-
-def job_refusal(owner, record, now, patience_s=math.inf):
-    """Return (outcome, delay, reason) when the job cannot be served, else None."""
-    able = [
-        agent
-        for agent in owner.agents.values()
-        if agent.worker is not None and agent.worker.service == record.service
-    ]
-    for step in record.steps:
-        if able and not any(workers.could_fit(a.worker, step) for a in able):
-            return Outcome.REFUSED, admission.RETRY_MAX_S, "too_large"
-    delay = admission.refusal_delay(
-        owner.backlog, owner.run_times, record, owner.free_cores, patience_s
-    )
-    if delay and now >= owner.knows_workers_at:
-        return Outcome.REFUSED, delay, "backlog"
-    return None
-
-
-def _submitted(owner, job, now):
-    """Go on with a job whose acceptance is stored."""
-    job.is_stored = True
-    job.shown = JobState.ACTIVE
-    owner.count("accepted")
-    log(owner, "job.accepted", job=job.id, queue=job.record.queue, shard=job.shard)
-    for waiter in job.waiters:
-        answer(owner, waiter, Outcome.ACCEPTED)
-    job.waiters = []
-    if job.cancel_waiters:
-        _store_cancel(owner, job, now)
-        return
-    release_steps(owner, job)
-
-
-def status(owner, shard_number, job_id, waiter, now):
-    """Answer with the stored state of a job.
-
-    Another entry may have accepted a job that is not known here when the store has
-    not confirmed the ownership for a while.
-    """
-    shard = owner.shards.get(shard_number)
-    if shard is None:
-        answer(owner, waiter, Outcome.NOT_READY, reason="not_owner")
-        return
-    job = shard.jobs.get(job_id)
-    if job is None:
-        is_current = now - owner.confirmed_at < owner.times.certain
-        answer(owner, waiter, Outcome.GONE if is_current else Outcome.NOT_READY)
-    elif not job.is_stored:
-        answer(owner, waiter, Outcome.UNDECIDED)
-    elif job.shown in _OUTCOMES:
-        answer(owner, waiter, _OUTCOMES[job.shown])
-    else:
-        answer(owner, waiter, Outcome.RUNNING if job.started else Outcome.QUEUED)
-
-
-def cancel(owner, shard_number, job_id, waiter, now):
-    """Cancel a job; the answer follows once that is stored."""
-    shard = owner.shards.get(shard_number)
-    job = shard.jobs.get(job_id) if shard else None
-    if shard is None or shard.is_closing:
-        answer(owner, waiter, Outcome.NOT_READY, reason="not_owner")
-    elif job is None:
-        is_current = now - owner.confirmed_at < owner.times.certain
-        answer(owner, waiter, Outcome.GONE if is_current else Outcome.NOT_READY)
-    elif job.shown is JobState.CANCELLED and shard.is_recovering:
-        job.cancel_waiters.append(waiter)
-    elif job.shown in _OUTCOMES:
-        answer(owner, waiter, Outcome.CANCELLED)
-    else:
-        job.cancel_waiters.append(waiter)
-        if job.is_stored and job.state is JobState.ACTIVE and not job.cancelling:
-            _store_cancel(owner, job, now)
-
-
-def _store_cancel(owner, job, now):
-    job.cancelling = True
-    drop_waiting(owner, job)
-    finish_job(owner, job, JobState.CANCELLED, now)
-
-
-def finish_job(owner, job, state, now):
-    """Store the end of a job; it is shown once it is stored."""
-    job.state = state
-    record = job.record
-    record.state = int(state)
-    job.finished_at = now
-    if not owner.shards[job.shard].is_kept:
-        _finished(owner, job, now)
-        return
-    value = encode_record(_short_record(record))
-    owner.commands.append(StoreRecord(job.shard, job.id, value, (_finished, job)))
-
-
-def _short_record(record):
-    """Return the record of a finished job: what it was made of is not needed."""
-    return JobRecord(
-        record.queue,
-        record.service,
-        record.state,
-        record.accepted_at,
-        record.accepted_epoch,
-    )
-
-
-def _finished(owner, job, now):
-    """Show the end of a job, and stop and note what is left of it."""
-    job.shown = job.state
-    owner.waiting.forget(job)
-    owner.count("finished_" + job.state.name.lower())
-    seconds = now - job.submitted_at
-    record_response(job.record.queue, job.state.name.lower(), seconds)
-    log(
-        owner,
-        "job.finished",
-        job=job.id,
-        queue=job.record.queue,
-        state=job.state.name.lower(),
-        seconds=round(seconds, 3),
-        objective=round(job.due_at - job.submitted_at, 3),
-    )
-    for waiter in job.waiters:
-        answer(owner, waiter, _OUTCOMES[job.state])
-    job.waiters = []
-    if not owner.shards[job.shard].is_recovering:
-        acknowledge_cancel(owner, job)
-    drop_waiting(owner, job)
-    for task in job.running_tasks():
-        stop_run(owner, task, now)
-    note_ends(owner, job)
-
-
-def acknowledge_cancel(owner, job):
-    """Answer those who cancelled a job of which nothing more can start.
-
-    During a recovery a former owner that the store does not reach may still start
-    tasks, at agents that have not accepted this one.
-    """
-    for waiter in job.cancel_waiters:
-        answer(owner, waiter, Outcome.CANCELLED)
-    job.cancel_waiters = []
-
-
-def note_ends(owner, job):
-    """Allow the agents to forget the ends of a job that are stored now."""
-    ends, job.unnoted = job.unnoted, []
-    send_notes(owner, ends)
-
-
 def send_notes(owner, ends):
     """Tell agents which ends their workers may forget."""
     by_life = {}
@@ -346,6 +156,12 @@
         owner.commands.append(SendMessage(agent_id, NoteEnds(life, numbers)))
 
 
+def note_ends(owner, job):
+    """Allow the agents to forget the ends of a job that are stored now."""
+    ends, job.unnoted = job.unnoted, []
+    send_notes(owner, ends)
+
+
 def stop_run(owner, task, now):
     """Order a stop, to be repeated until the end is reported."""
     name = RunName(task.job.id, task.step, task.index, task.run)
@@ -361,109 +177,6 @@
         owner.commands.append(SendMessage(agent_id, message))
 
 
-def release_steps(owner, job):
-    """Let the tasks wait whose earlier steps have all ended."""
-    for number, step in enumerate(job.record.steps):
-        tasks = job.tasks[number]
-        if not job.remaining[number]:
-            continue
-        if any(job.remaining[earlier] for earlier in step.after):
-            continue
-        for task in tasks:
-            if task.status is TaskStatus.BLOCKED:
-                wait(owner, task)
-
-
-def wait(owner, task):
-    """Put a task into the list of those that wait for a worker."""
-    task.status = TaskStatus.WAITING
-    task.agent = None
-    if task.job.is_active:
-        owner.waiting.add(task)
-        owner.backlog.add(task.job.record.priority, expected_work(owner, task))
-
-
-def stop_waiting(owner, task):
-    """Take a task out of the list."""
-    owner.waiting.remove(task)
-    owner.backlog.add(task.job.record.priority, -expected_work(owner, task))
-
-
-def put_back_late(owner, now):
-    """Put back the waiting jobs that can no longer be in time."""
-    for job in owner.waiting.jobs():
-        if owner.waiting.is_late(job):
-            continue
-        durations = admission.expected_durations(owner.run_times, job.record)
-        if now + min(durations) > job.due_at:
-            owner.waiting.put_back(job)
-
-
-def drop_waiting(owner, job):
-    """Take all tasks of a job out of the list."""
-    for task in list(owner.waiting.tasks(job)):
-        stop_waiting(owner, task)
-
-
-def expected_work(owner, task):
-    """Return the declared core-seconds of a task.
-
-    It is not corrected by what is learned, so that the sum stays exact.
-    """
-    return task.spec.cpu / 1000 * (task.spec.estimate or 0.1)
-
-
-def record_progress(job):
-    """Bring the record up to date with the tasks that have ended."""
-    job.record.done = [
-        [task.index for task in step if task.status is TaskStatus.DONE]
-        for step in job.tasks
-    ]
-
-
-def count_failure(task, run):
-    """Count a failed run of a task; return whether it is a new one."""
-    failed = FailedRun(task.step, task.index, run)
-    if failed in task.job.record.failed_runs:
-        return False
-    task.job.record.failed_runs.append(failed)
-    task.failures += 1
-    return True
-
-
-def stored(owner, token, now):
-    """Go on after a record was stored."""
-    if token is not None:
-        function, subject = token
-        function(owner, subject, now)
-
-
-def not_stored(owner, token, now):
-    """Take back a job whose record was certainly not stored."""
-    if token is None or token[0] is not _submitted:
-        return
-    job = token[1]
-    shard = owner.shards.get(job.shard)
-    if shard is not None:
-        shard.jobs.pop(job.id, None)
-    for waiter in job.waiters:
-        answer(owner, waiter, Outcome.NOT_READY, 1.0, "store_unavailable")
-    for waiter in job.cancel_waiters:
-        answer(owner, waiter, Outcome.GONE)
-
-
-def is_submission(token):
-    """Return whether the token is that of a job's acceptance."""
-    return token is not None and token[0] is _submitted
-
-
-def waiters_of(token):
-    """Return and clear the callers that wait for a job's acceptance."""
-    job = token[1]
-    waiters, job.waiters = job.waiters, []
-    return waiters
-
-
 def granted_shards(owner, now, view=None):
     """Return the shards for which an agent may be granted, as ShardEpoch.
 
@@ -490,3 +203,21 @@
                 queue = job.record.queue
                 pending[queue] = pending.get(queue, 0) + 1
     return pending
+
+
+def count_failure(task, run):
+    """Count a failed run of a task; return whether it is a new one."""
+    failed = FailedRun(task.step, task.index, run)
+    if failed in task.job.record.failed_runs:
+        return False
+    task.job.record.failed_runs.append(failed)
+    task.failures += 1
+    return True
+
+
+def record_progress(job):
+    """Bring the record up to date with the tasks that have ended."""
+    job.record.done = [
+        [task.index for task in step if task.status is TaskStatus.DONE]
+        for step in job.tasks
+    ]
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -19,13 +19,8 @@
     create_job,
     decode_record,
 )
-from .owner import (
-    Shard,
-    answer,
-    drop_waiting,
-    granted_shards,
-    log,
-)
+from .owner import Shard, answer, granted_shards, log
+from .pending import drop_waiting
 from .runs import end_recovery
 
 
