Acknowledge a cancel when the runs of the job have ended

A cancel was acknowledged when it was stored, while orders to start were on their way on a slow link; a task began 0.15 s after the acknowledgement, and was stopped at once. The directed test fails before. test_no_start_after_an_acknowledged_cancel looks for the acknowledgement one look later, and now also checks that nothing runs at that moment.

--- a/tests/scheduling/fuzz/knockouts.py
+++ b/tests/scheduling/fuzz/knockouts.py
@@ -10,6 +10,7 @@
     worker_runs,
     worker_starts,
 )
+from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.owner import OwnerTimes
 
 
@@ -86,7 +87,9 @@
         cancel(owner, shard, job_id, waiter, now)
         known = owner.shards.get(shard) and owner.shards[shard].jobs.get(job_id)
         if known is not None and known.cancelling:
-            job_requests.acknowledge_cancel(owner, known)
+            for waiting in known.cancel_waiters:
+                decisions.answer(owner, waiting, Outcome.CANCELLED)
+            known.cancel_waiters = []
 
     patch(job_requests, "cancel", cancel_at_once)
 
--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -27,6 +27,7 @@
 FAILED_WALKS = {
     3046: "a cancel was acknowledged while a former owner could start tasks",
     3633: "the same, for more than 3 s",
+    7484: "an order to start was on its way when a cancel was acknowledged",
     6539: "a refusal of an earlier submission was taken for that of the present run",
     3489: "an end of an earlier submission was taken for that of the present run",
 }
--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -123,7 +123,9 @@
     owned.settle()
     assert ("cancel", Outcome.CANCELLED) not in entry.answers
     owned.store(entry)
+    owned.advance(0.1)
     assert ("cancel", Outcome.CANCELLED) in entry.answers
+    assert owned.running() == []
     owned.advance(0.5)
     assert owned.running() == []
     assert ask_state(owned, entry) is Outcome.CANCELLED
@@ -284,3 +286,20 @@
     ownership.confirm(entry.owner, owned.now)
     owned.advance(0.1)
     assert entry.answers == [("cancel", Outcome.CANCELLED)]
+
+
+def test_cancel_is_acknowledged_after_the_runs(owned):
+    """An order to start may be on its way when the cancel is stored."""
+    entry = owned.entries["entry-0"]
+    start(owned, entry)
+    entry.answers.clear()
+    for agent in owned.agents.values():
+        agent.auto = False  # the orders to stop are not carried out yet
+    job_requests.cancel(entry.owner, SHARD, JOB, "cancel", owned.now)
+    owned.settle()
+    owned.store(entry)
+    assert entry.answers == []
+    for agent_name, name in owned.running():
+        owned.agents[agent_name].worker.end(name, RunEnd.STOPPED)
+    owned.advance(0.1)
+    assert entry.answers == [("cancel", Outcome.CANCELLED)]
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -107,8 +107,9 @@
     elif job is None:
         is_current = now - owner.confirmed_at < owner.times.certain
         answer(owner, waiter, Outcome.GONE if is_current else Outcome.NOT_READY)
-    elif job.shown is JobState.CANCELLED and shard.is_recovering:
+    elif job.shown is JobState.CANCELLED:
         job.cancel_waiters.append(waiter)
+        acknowledge_cancel(owner, job)
     elif job.shown in _OUTCOMES:
         answer(owner, waiter, Outcome.CANCELLED)
     else:
@@ -166,20 +167,25 @@
     for waiter in job.waiters:
         answer(owner, waiter, _OUTCOMES[job.state])
     job.waiters = []
-    if not owner.shards[job.shard].is_recovering:
-        acknowledge_cancel(owner, job)
     drop_waiting(owner, job)
     for task in job.running_tasks():
         stop_run(owner, task, now)
     note_ends(owner, job)
+    acknowledge_cancel(owner, job)
 
 
 def acknowledge_cancel(owner, job):
-    """Answer those who cancelled a job of which nothing more can start.
+    """Answer those who cancelled a job, once nothing more of it can start.
 
-    During a recovery a former owner that the store does not reach may still start
-    tasks, at agents that have not accepted this one.
+    Orders to start may still be on their way until the end of each run is reported.
+    During a recovery a former owner that the store does not reach may start tasks, at
+    agents that have not accepted this one.
     """
+    shard = owner.shards.get(job.shard)
+    if shard is None or shard.is_recovering or job.shown not in _OUTCOMES:
+        return
+    if job.running_tasks():
+        return
     for waiter in job.cancel_waiters:
         answer(owner, waiter, Outcome.CANCELLED)
     job.cancel_waiters = []
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -4,6 +4,7 @@
 
 from . import besteffort, workers
 from .commands import SendMessage
+from .job_requests import acknowledge_cancel
 from .jobs import JobState, RunEnd, TaskStatus
 from .owner import (
     RUNS_PER_EPOCH,
@@ -147,6 +148,7 @@
         if task is None or task.job.shown not in (JobState.ACTIVE, None):
             if task is not None and task.agent == agent_id:
                 _free_ended(owner, task, name)
+                acknowledge_cancel(owner, task.job)
                 besteffort.clear_up(owner, task.job, now)
             send_notes(owner, [note])
             continue
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -140,6 +140,7 @@
     )
     task.status = TaskStatus.BLOCKED
     if task.job.state is not JobState.ACTIVE:
+        acknowledge_cancel(owner, task.job)
         besteffort.clear_up(owner, task.job, now)
     elif not check_attempts(owner, task, now):
         wait(owner, task)
