Leave out rows of a worker's lists that cannot be read

Cause: found by tests/platform/test_mutations.py, which drops or replaces one part of each message of the platform. A row with a number of an end, or a percentage, of another type ended the agent's process with a TypeError; rows with an unreadable name were dropped without a word. Change: such a row is left out with a log line; an unreadable percentage counts as 0, so that the run is still known. The list of events is now compared with platform/ as well.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -57,8 +57,9 @@
 def test_every_log_event_is_on_the_page():
     """Guards against a line that an on-call engineer cannot look up."""
     events = set()
-    for package in ("node", "scheduling", "aio"):
+    for package in ("node", "platform", "scheduling", "aio"):
         for source in (ROOT / "turmericknot" / package).glob("*.py"):
             events |= set(re.findall(r'"([a-z]+\.[a-z_]+)"', source.read_text()))
+    events = {event for event in events if not event.startswith("keyed.")}  # topics
     page = (DOCS / "reference" / "events.md").read_text()
     assert events == set(re.findall(r"^\| `([a-z_.]+)` \|", page, re.M))
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -18,12 +18,14 @@
     HoldResult,
     WorkerLife,
 )
+from turmericknot.utils.logging import get_logger
 from turmericknot.wire.shard_messages import RunName
 
 EXPECT_LIFE_HEADER = "X-Turmericknot-Expect-Instance"
 # The worker is on the same VM and answers within a millisecond when it is well.
 ORDER_TIMEOUT_S = 0.4
 REPORT_PATH = "/instances/"
+MAX_ROW_CHARS = 100  # of an unreadable row in the log
 
 _ENDS = {
     "done": RunEnd.DONE,
@@ -177,16 +179,25 @@
     result = HoldResult(lists.clock_ms, lists.born)
     for row in lists.running:
         name = _run_name(row, 0)
-        if name is not None:
-            result.running.append(HeldRun(name, row[3] if len(row) > 3 else 0))
+        if name is None:
+            get_logger().warning("lists.row_unreadable", row=str(row)[:MAX_ROW_CHARS])
+            continue
+        percent = row[3] if len(row) > 3 else 0
+        result.running.append(HeldRun(name, percent if _is_number(percent) else 0))
     for row in lists.ended:
         name = _run_name(row, 1)
-        if name is not None:
-            how = _ENDS.get(row[3], RunEnd.OTHER)
-            result.ended.append(HeldEnd(row[0], name, how))
+        if name is None or not _is_number(row[0]):
+            get_logger().warning("lists.row_unreadable", row=str(row)[:MAX_ROW_CHARS])
+            continue
+        how = row[3] if len(row) > 3 else ""
+        result.ended.append(HeldEnd(row[0], name, _ENDS.get(str(how), RunEnd.OTHER)))
     return result
 
 
+def _is_number(value):
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
 def _task_name(name):
     # The second part numbers the occurrences of a job with times.
     return f"{name.job}.0.{name.step}.{name.index}"
