Say that a stopping entry refuses because it stops

It accepts only what it expects to finish before it exits. Change: the reason is stopping. The new test fails before.

--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -66,6 +66,15 @@
     assert site.running() == [(agent_name, name)]
 
 
+def test_refusal_at_an_entry_that_is_about_to_end_says_so(site):
+    """A refusal for the backlog of an empty entry misleads who looks for its cause."""
+    entry = site.entries["entry-0"]
+    site.advance(4.0)
+    entry.owner.is_leaving = True
+    entry.hand_in("caller", site.now, wait=0.01)
+    assert entry.owner.counts["refused_stopping"] == 1
+
+
 def test_runs_of_a_second_submission_are_numbered_on(site):
     """A late refusal of the first submission's run would be taken for the second's."""
     entry = site.entries["entry-0"]
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -440,6 +440,7 @@
         """Hand the shards over and go on forwarding until no client is left."""
         self.log.info("entry.stopping")
         self._is_draining = True
+        self.owner.is_leaving = True
         started_at = steady_time()
         end = started_at + self.settings.bounds.stop_grace_s - EXIT_MARGIN_S
         self._leave_at = end
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -57,7 +57,7 @@
         owner.backlog, owner.run_times, record, owner.free_cores, patience_s
     )
     if delay and now >= owner.knows_workers_at:
-        return Outcome.REFUSED, delay, "backlog"
+        return Outcome.REFUSED, delay, "stopping" if owner.is_leaving else "backlog"
     return None
 
 
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -82,6 +82,7 @@
         "paused_until",
         "rng",
         "knows_workers_at",
+        "is_leaving",
     )
 
     def __init__(self, times, rng, now):
@@ -99,6 +100,7 @@
         self.stopping = {}  # run name -> (agent id, shard, time of the last order)
         self.counts = {}
         self.paused_until = 0.0  # nothing starts before this time
+        self.is_leaving = False  # the process is about to end
 
     @property
     def free_cores(self):
