--- a/tests/scheduling/fuzz/world.py
+++ b/tests/scheduling/fuzz/world.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from tests.scheduling.delivery import deliver_to_agent, deliver_to_owner
 from tests.scheduling.fuzz.oracle import Oracle, Submission
 from tests.scheduling.fuzz.worker_model import AgentModel
 from tests.scheduling.site import record
@@ -16,7 +17,6 @@
     runs,
     worker_leases,
     worker_runs,
-    worker_starts,
 )
 from turmericknot.scheduling.commands import (
     AnswerRequest,
@@ -183,33 +183,10 @@
                 owner.commands.remove(command)
                 link.to_agent.append((command.message, sent_at))
             return
-        match message:
-            case wire.RunsEnded():
-                reports.ended(
-                    owner, agent, message.shard, message.life, message.ends, now
-                )
-            case wire.RunsRefused():
-                reports.refused(owner, agent, message.shard, message.runs, now)
-            case wire.ShardInventory():
-                reports.inventory(
-                    owner, agent, message.shard, message.epoch, message.runs, now
-                )
-            case wire.WorkerChanged():
-                reports.worker_changed(owner, agent, message.worker, now)
-        runs.schedule(owner, now)
+        deliver_to_owner(owner, agent, message, now)
 
     def _to_agent(self, link, message, sent_at):
-        state, stream, now = link.agent.state, link.number, self.now
-        match message:
-            case wire.Grant():
-                sent = sent_at if message.sequence else None
-                worker_leases.granted(state, stream, message, sent, now)
-            case wire.StartRuns():
-                worker_starts.start_runs(state, stream, message, now)
-            case wire.StopRuns():
-                worker_starts.stop_runs(state, stream, message, now)
-            case wire.NoteEnds():
-                worker_leases.note_ends(state, message.life, message.numbers)
+        deliver_to_agent(link.agent.state, link.number, message, sent_at, self.now)
 
     # Commands.
 
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -25,6 +25,8 @@
 )
 from turmericknot.wire import shard_messages as wire
 
+from .delivery import deliver_to_agent, deliver_to_owner
+
 SHARD_COUNT = 1
 RUN_S = 10.0  # in which a run would come to 100 percent
 JOB = "00000000000000a1"
@@ -231,38 +233,14 @@
         stream = self.stream_of.get((entry.name, command.agent))
         if agent is None or stream is None:
             return False
-        message, state, now = command.message, agent.state, self.now
-        match message:
-            case wire.Grant():
-                sent_at = now if message.sequence else None
-                worker_leases.granted(state, stream, message, sent_at, now)
-            case wire.StartRuns():
-                worker_starts.start_runs(state, stream, message, now)
-            case wire.StopRuns():
-                worker_starts.stop_runs(state, stream, message, now)
-            case wire.NoteEnds():
-                worker_leases.note_ends(state, message.life, message.numbers)
+        deliver_to_agent(agent.state, stream, command.message, self.now, self.now)
         return True
 
     def _to_entry(self, agent, stream, message):
         for (entry_name, agent_name), known in self.stream_of.items():
             if known == stream and agent_name == agent.name:
-                self._take(self.entries[entry_name].owner, agent.name, message)
-
-    def _take(self, owner, agent, message):
-        now = self.now
-        match message:
-            case wire.RunsEnded():
-                reports.ended(
-                    owner, agent, message.shard, message.life, message.ends, now
-                )
-            case wire.RunsRefused():
-                reports.refused(owner, agent, message.shard, message.runs, now)
-            case wire.ShardInventory():
-                reports.inventory(
-                    owner, agent, message.shard, message.epoch, message.runs, now
-                )
-        runs.schedule(owner, now)
+                owner = self.entries[entry_name].owner
+                deliver_to_owner(owner, agent.name, message, self.now)
 
     def advance(self, seconds, step=0.05, renew=True):
         """Let time pass; agents renew and look, entries decide."""
