Dispatch the messages of agents in one place

The match over their types stood in node/entry.py and in tests/scheduling/delivery.py. It is reports.take_message now, which both call; entry.py loses 22 lines.

--- a/tests/scheduling/delivery.py
+++ b/tests/scheduling/delivery.py
@@ -20,15 +20,5 @@
 
 def deliver_to_owner(owner, agent, message, now):
     """Hand a message of an agent to an owner."""
-    match message:
-        case wire.RunsEnded():
-            reports.ended(owner, agent, message.shard, message.life, message.ends, now)
-        case wire.RunsRefused():
-            reports.refused(owner, agent, message.shard, message.runs, now)
-        case wire.ShardInventory():
-            reports.inventory(
-                owner, agent, message.shard, message.epoch, message.runs, now
-            )
-        case wire.WorkerChanged():
-            reports.worker_changed(owner, agent, message.worker, now)
+    reports.take_message(owner, agent, message, now)
     runs.schedule(owner, now)
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -225,35 +225,13 @@
         agent = self._agents.get(stream)
         for message in messages:
             if agent is not None:
-                self._from_agent(agent, message)
+                reports.take_message(self.owner, agent, message, steady_time())
             else:
                 self._from_peer(stream, message)
         if agent is not None:
             runs.schedule(self.owner, steady_time())
         self.decided()
 
-    def _from_agent(self, agent, message):
-        owner, now = self.owner, steady_time()
-        match message:
-            case wire.GrantRequest():
-                reports.grant_requested(owner, agent, message.sequence, now)
-            case wire.RunsEnded():
-                reports.ended(
-                    owner, agent, message.shard, message.life, message.ends, now
-                )
-            case wire.RunsRefused():
-                reports.refused(owner, agent, message.shard, message.runs, now)
-            case wire.ShardInventory():
-                reports.inventory(
-                    owner, agent, message.shard, message.epoch, message.runs, now
-                )
-            case wire.RunsProgress():
-                reports.progress_reported(owner, agent, message, now)
-            case wire.RoomReport():
-                reports.room_reported(owner, agent, message)
-            case wire.WorkerChanged():
-                reports.worker_changed(owner, agent, message.worker, now)
-
     def _from_peer(self, stream, message):
         owner, now = self.owner, steady_time()
         match message:
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -1,6 +1,6 @@
 """What agents report to an owner: runs, ends, refusals, progress and room."""
 
-from turmericknot.wire.shard_messages import Grant
+from turmericknot.wire import shard_messages as wire
 
 from . import besteffort, workers
 from .commands import SendMessage
@@ -26,6 +26,25 @@
 MAX_MOVES = 2  # of one task
 
 
+def take_message(owner, agent_id, message, now):
+    """Take any message of a connected agent."""
+    match message:
+        case wire.GrantRequest():
+            grant_requested(owner, agent_id, message.sequence, now)
+        case wire.RunsEnded():
+            ended(owner, agent_id, message.shard, message.life, message.ends, now)
+        case wire.RunsRefused():
+            refused(owner, agent_id, message.shard, message.runs, now)
+        case wire.ShardInventory():
+            inventory(owner, agent_id, message.shard, message.epoch, message.runs, now)
+        case wire.RunsProgress():
+            progress_reported(owner, agent_id, message, now)
+        case wire.RoomReport():
+            room_reported(owner, agent_id, message)
+        case wire.WorkerChanged():
+            worker_changed(owner, agent_id, message.worker, now)
+
+
 def agent_connected(owner, hello, now):
     """Note a new stream of an agent; ShardInventory follows for each shard."""
     view = owner.agents.get(hello.agent)
@@ -40,7 +59,7 @@
     worker_changed(owner, hello.agent, hello.worker, now)
     log(owner, "agent.connected", agent=hello.agent, boot=hello.boot)
     # It completes the handshake, whether or not the entry owns a shard.
-    greeting = Grant(0, granted_shards(owner, now, view))
+    greeting = wire.Grant(0, granted_shards(owner, now, view))
     owner.commands.append(SendMessage(hello.agent, greeting))
 
 
@@ -84,7 +103,7 @@
     if shards:
         view.granted_until = now + owner.times.grant
         view.is_expired = False
-    owner.commands.append(SendMessage(agent_id, Grant(sequence, shards)))
+    owner.commands.append(SendMessage(agent_id, wire.Grant(sequence, shards)))
 
 
 def inventory(owner, agent_id, shard_number, epoch, names, now):
