Store a worker's life as the type that it is

WorkerRecord repeated the fields of WorkerLife, with a copy in each direction. msgspec encodes the dataclass itself; the clock and the number of the report are set to fixed values, so that only changes are stored, as before. No test is changed.

--- a/turmericknot/node/worker_memory.py
+++ b/turmericknot/node/worker_memory.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import zlib
+from dataclasses import replace
 
 import msgspec
 
@@ -15,61 +16,30 @@
 from turmericknot.scheduling.worker_types import WorkerLife
 from turmericknot.utils.logging import get_logger
 
+BEFORE_ALL_REPORTS = -1  # the number of a recalled life: every report is newer
 RETRY_S = 1.0  # of a write: a later report of the worker says the same
 
 
-class WorkerRecord(msgspec.Struct, array_like=True):
-    """A life of a worker; ``cpu`` is in thousandths of a core, ``memory`` in MB."""
-
-    id: str
-    born: int  # Unix milliseconds
-    service: str
-    usable: bool
-    cpu: int
-    memory: int
-    accelerators: int
-    labels: list[str]
-
-
-_decoder = msgspec.msgpack.Decoder(WorkerRecord)
+_decoder = msgspec.msgpack.Decoder(WorkerLife)
 
 
 def encode_worker(life):
-    """Return the bytes of a WorkerLife; none without a worker."""
+    """Return the bytes of a WorkerLife; none without a worker.
+
+    What each report changes is left out: the clock and the number of the report.
+    """
     if life is None:
         return b""
-    record = WorkerRecord(
-        life.id,
-        life.born,
-        life.service,
-        life.usable,
-        life.cpu,
-        life.memory,
-        life.accelerators,
-        life.labels,
-    )
-    return msgspec.msgpack.encode(record)
+    lasting = replace(life, clock=0.0, clock_at=0.0, sequence=BEFORE_ALL_REPORTS)
+    return msgspec.msgpack.encode(lasting)
 
 
 def decode_worker(data):
     """Return the WorkerLife in the bytes, with its clock at 0; raise MessageError."""
     try:
-        record = _decoder.decode(data)
+        return _decoder.decode(data)
     except msgspec.DecodeError as error:
         raise MessageError(f"worker: {error}") from error
-    return WorkerLife(
-        id=record.id,
-        born=record.born,
-        service=record.service,
-        usable=record.usable,
-        cpu=record.cpu,
-        memory=record.memory,
-        accelerators=record.accelerators,
-        labels=record.labels,
-        clock=0.0,
-        clock_at=0.0,
-        sequence=-1,  # every report of the life is newer
-    )
 
 
 class WorkerMemory:
