Count messages by kind and show them with processor time

Cause: nothing told how the traffic between entries and agents, or the processor time of a process, divides into kinds of message.

Change: both roles export messages and bytes by direction and kind with their metrics, and log them every 5 s with the processor time used. turmericknot traffic sums the logs of any number of processes by role.

--- a/turmericknot/management/registry.py
+++ b/turmericknot/management/registry.py
@@ -20,6 +20,7 @@
     "status",
     "load",
     "explain",
+    "traffic",
     "platform",
     "version",
 )
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -44,6 +44,7 @@
     decode_registration,
 )
 from .tasks import start_background_task
+from .traffic_log import log_traffic
 from .worker_state import create_worker_state_store
 
 GRANT_REQUEST_INTERVAL_S = 0.25
@@ -157,7 +158,9 @@
         server = create_http_server(self._handle_worker_report)
         await server.start(self._settings.reports_address)
         await start_metrics_server(
-            self._settings.metrics_address, self._read_metric_values
+            self._settings.metrics_address,
+            self._read_metric_values,
+            self._links.traffic,
         )
         self._log.info("agent.started", boot=self._boot_id)
         start_background_task(self._restore_worker(), "recall", self.on_task_failure)
@@ -168,6 +171,9 @@
         start_background_task(
             self._report_foreign_usage(), "room", self.on_task_failure
         )
+        start_background_task(
+            log_traffic(self._links.traffic, "agent"), "traffic", self.on_task_failure
+        )
         await self._shutdown.wait()
         if self._failed_task:
             return 1
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -45,6 +45,7 @@
 from .registration import REGISTER_INTERVAL_S, Registration, encode_registration
 from .requests import RemoteWaiter, create_requests, deliver_answer
 from .tasks import start_background_task
+from .traffic_log import log_traffic
 
 TICK_INTERVAL_S = 0.1
 REQUEST_TIMEOUT_S = 1.4  # shorter than the usual deadline of a client
@@ -395,7 +396,9 @@
         await server.start(self.settings.jobs_address)
         await readiness_server.start(self.settings.ready_address)
         await start_metrics_server(
-            self.settings.metrics_address, self._read_metric_values
+            self.settings.metrics_address,
+            self._read_metric_values,
+            self.links.traffic,
         )
         self.log.info("entry.started", member=self.member)
         configuration_loop = follow_configuration(
@@ -407,6 +410,9 @@
             self._register_address(), "register", self.on_task_failure
         )
         start_background_task(self._run_ticks(), "tick", self.on_task_failure)
+        start_background_task(
+            log_traffic(self.links.traffic, "entry"), "traffic", self.on_task_failure
+        )
         start_background_task(self._probe_peers(), "probe", self.on_task_failure)
         membership_task = start_background_task(
             self.membership.run(), "membership", self.on_task_failure
--- a/turmericknot/wire/traffic.py
+++ b/turmericknot/wire/traffic.py
@@ -45,11 +45,17 @@
     counters.bytes += size
 
 
+def iter_directions(traffic):
+    """Yield the name and the DirectionCounters of each direction."""
+    yield "sent", traffic.sent
+    yield "received", traffic.received
+
+
 def report_traffic(traffic):
     """Return the counters as nested dicts for GET /v1/status."""
     return {
-        "sent": _report_direction(traffic.sent),
-        "received": _report_direction(traffic.received),
+        direction: _report_direction(counters)
+        for direction, counters in iter_directions(traffic)
     }
 
 
