Match waiting tasks with the agents that gained capacity

Cause: every frame of every agent started a pass over all agents for up to nine waiting jobs. At the peak of a wave, when no worker has room, an entry with 160 agents examined some 1,400 workers for each report that it received.

Change: an agent that gains capacity is offered the waiting tasks alone, and only a job that has begun to wait is offered to all agents. A pass over everything, once a second, remains as a safety net. A refused or suspended agent is offered tasks when its back-off ends.

Result: a report at a full fleet examines 9 workers at 40, 160 and 690 agents (test_report_at_a_full_fleet_costs_the_same_at_any_size).

--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -6,10 +6,11 @@
 from turmericknot.utils import histograms
 from turmericknot.wire.shard_messages import NoteEnds, RunName, ShardEpoch, StopRuns
 
-from . import admission
+from . import admission, workers
 from .commands import AnswerRequest, OwnerLogLine, SendMessage, StoreRecord
 from .estimates import create_run_times
 from .jobs import FailedRun, JobState, TaskStatus, encode_record
+from .placement_events import create_placement_events
 from .waiting import create_waiting_jobs
 from .worker_runs import GRANT_S
 
@@ -78,6 +79,7 @@
         "shards",
         "agents",
         "waiting",
+        "placement_events",
         "backlog",
         "run_times",
         "commands",
@@ -98,6 +100,7 @@
         self.shards = {}
         self.agents = {}
         self.waiting = create_waiting_jobs()
+        self.placement_events = create_placement_events()
         self.backlog = admission.Backlog()
         self.run_times = create_run_times()
         self.commands = []
@@ -184,6 +187,12 @@
         owner.commands.append(SendMessage(agent_id, message))
 
 
+def release_capacity(owner, view, task):
+    """Release the capacity of a task's run and offer it to waiting tasks."""
+    workers.release_capacity(view, task)
+    owner.placement_events.capacity_freed(view.id)
+
+
 def granted_shards(owner, now, view=None):
     """Return the shards that may be granted to an agent, as ShardEpoch.
 
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -10,7 +10,7 @@
 
 from turmericknot.wire.shard_messages import Grant
 
-from . import admission, workers
+from . import admission
 from .commands import Outcome, SendMessage
 from .jobs import (
     JobState,
@@ -19,7 +19,7 @@
     create_job,
     decode_record,
 )
-from .owner import Shard, answer, granted_shards, log
+from .owner import Shard, answer, granted_shards, log, release_capacity
 from .pending import dequeue_job_tasks
 from .runs import end_recovery
 
@@ -100,7 +100,7 @@
     for task in job.running_tasks():
         view = owner.agents.get(task.agent)
         if view is not None:
-            workers.release_capacity(view, task)
+            release_capacity(owner, view, task)
     for waiter in (*job.waiters, *job.cancel_waiters):
         answer(owner, waiter, Outcome.UNDECIDED, reason="owner_changed")
     job.waiters = []
--- a/turmericknot/scheduling/pending.py
+++ b/turmericknot/scheduling/pending.py
@@ -23,6 +23,7 @@
     task.agent = None
     if task.job.is_active:
         owner.waiting.add(task)
+        owner.placement_events.job_waits(task.job)
         owner.backlog.add(task.job.record.priority, expected_work(owner, task))
 
 
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -11,6 +11,7 @@
     count_failure,
     granted_shards,
     log,
+    release_capacity,
     send_acknowledgements,
     send_stop,
     stop_run,
@@ -63,6 +64,7 @@
     view.failure_domain = hello.failure_domain
     view.is_connected = True
     view.accepted_epochs.clear()
+    owner.placement_events.capacity_freed(view.id)
     worker_changed(owner, hello.agent, hello.worker, now)
     log(owner, "agent.connected", agent=hello.agent, boot=hello.boot)
     # Completes the handshake, even if the entry owns no shard.
@@ -91,6 +93,7 @@
         view.failed_jobs.clear()
         view.suspended_until = 0.0
         view.is_probing = False
+    owner.placement_events.capacity_freed(agent_id)
     log(
         owner,
         "worker.changed",
@@ -105,6 +108,8 @@
     view = owner.agents.get(agent_id)
     if view is None:
         return
+    if not workers.is_usable(view, now):
+        owner.placement_events.capacity_freed(agent_id)
     view.last_request_at = now
     shards = granted_shards(owner, now, view)
     if shards:
@@ -120,6 +125,7 @@
     if shard is None or view is None or shard.epoch != epoch:
         return
     view.accepted_epochs[shard_number] = epoch
+    owner.placement_events.capacity_freed(agent_id)
     reported_tasks = set()
     for name in names:
         task = _find_task(shard, name)
@@ -206,10 +212,12 @@
     if how is RunEnd.FAILED and count_failure(task, name.run):
         task.avoided_agents = (*task.avoided_agents, view.id)
         if workers.observe_failure(view, task.job.id, now):
+            owner.placement_events.agent_returns_at(view.id, view.suspended_until)
             log(owner, "worker.suspended", agent=view.id, seconds=view.suspension_s)
     if how is RunEnd.STUCK:
         task.avoided_agents = (*task.avoided_agents, view.id)
         workers.observe_stuck(view, now)
+        owner.placement_events.agent_returns_at(view.id, view.suspended_until)
     if is_current_run:
         run_ended_without_result(owner, view, task, how, now)
     elif how is RunEnd.FAILED:
@@ -240,7 +248,7 @@
         return
     holder = owner.agents.get(task.agent)
     if holder is not None:
-        workers.release_capacity(holder, task)
+        release_capacity(owner, holder, task)
     if task.status is TaskStatus.RUNNING:
         task.status = TaskStatus.BLOCKED
 
@@ -251,10 +259,11 @@
     view = owner.agents.get(agent_id)
     if shard is None or view is None:
         return
+    view.refusal_backoff_until = now + workers.REFUSAL_BACKOFF_S
+    owner.placement_events.agent_returns_at(agent_id, view.refusal_backoff_until)
     for refusal in runs:
         owner.pending_stops.pop(refusal.name, None)
         owner.count("start_refused_" + refusal.reason)
-        view.refusal_backoff_until = now + workers.REFUSAL_BACKOFF_S
         if refusal.reason == "room":
             mark_full(view)
         task = _find_task(shard, refusal.name)
@@ -267,7 +276,8 @@
             task.run += RUN_NUMBERS_PER_EPOCH
         if refusal.reason == "unhealthy":
             task.avoided_agents = (*task.avoided_agents, agent_id)
-            workers.observe_failure(view, task.job.id, now)
+            if workers.observe_failure(view, task.job.id, now):
+                owner.placement_events.agent_returns_at(agent_id, view.suspended_until)
         run_ended_without_result(owner, view, task, RunEnd.LOST, now, refusal.reason)
 
 
@@ -325,10 +335,17 @@
 def foreign_usage_reported(owner, agent_id, report):
     """Record what runs of other owners use on a worker."""
     view = owner.agents.get(agent_id)
-    if view is not None:
-        view.foreign_cpu = report.cpu
-        view.foreign_memory = report.memory
-        view.foreign_accelerators = report.accelerators
+    if view is None:
+        return
+    if (
+        report.cpu < view.foreign_cpu
+        or report.memory < view.foreign_memory
+        or report.accelerators < view.foreign_accelerators
+    ):
+        owner.placement_events.capacity_freed(agent_id)
+    view.foreign_cpu = report.cpu
+    view.foreign_memory = report.memory
+    view.foreign_accelerators = report.accelerators
 
 
 def mark_full(view):
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -10,6 +10,7 @@
     RUN_NUMBERS_PER_EPOCH,
     log,
     record_progress,
+    release_capacity,
     send_acknowledgements,
     send_stop,
     store_job,
@@ -30,22 +31,60 @@
 
 
 def schedule_tasks(owner, now):
-    """Start waiting tasks on workers with free capacity, in list order."""
-    if not owner.waiting or now < owner.paused_until:
+    """Start waiting tasks on workers with free capacity, in list order.
+
+    Agents that have gained capacity since the last call are offered all waiting tasks;
+    tasks that have begun to wait since then are offered to all agents.
+    """
+    if now < owner.paused_until:
+        return
+    events = owner.placement_events
+    if not owner.waiting:
+        events.clear()
         return
     starts = {}
+    if events.is_full_pass_due(now):
+        events.clear()
+        _offer_tasks(owner, owner.agents, None, starts, now)
+    else:
+        agent_ids = events.pop_agents(now)
+        if agent_ids:
+            _offer_tasks(owner, agent_ids, None, starts, now)
+        if events.new_jobs:
+            _offer_tasks(owner, owner.agents, events.new_jobs, starts, now)
+    for (agent_id, number), runs in starts.items():
+        shard = owner.shards[number]
+        life = owner.agents[agent_id].worker.life
+        message = StartRuns(number, shard.epoch, life, runs)
+        owner.commands.append(SendMessage(agent_id, message))
+
+
+def _offer_tasks(owner, agent_ids, new_jobs, starts, now):
+    """Start the waiting tasks that these agents have capacity for.
+
+    ``new_jobs`` limits the pass to these jobs and loses those that it has reached; None
+    stands for all waiting jobs. ``starts`` collects the runs by agent and shard.
+    """
     skipped = 0
-    agents = [view for view in owner.agents.values() if workers.is_usable(view, now)]
-    if not agents:
-        return
+    usable_agents = None
     candidates = {}  # shard number -> agents that may get its runs
     for job in owner.waiting.jobs():
+        if skipped > MAX_SKIPPED_JOBS:
+            break
         shard = owner.shards.get(job.shard)
         if shard is None or shard.is_closing:
             continue
+        if new_jobs is not None and new_jobs.pop(job.id, None) is None:
+            skipped += 1  # no agent had capacity for it
+            continue
+        if usable_agents is None:
+            views = [owner.agents[agent_id] for agent_id in agent_ids]
+            usable_agents = [view for view in views if workers.is_usable(view, now)]
         if shard.number not in candidates:
             candidates[shard.number] = [
-                a for a in agents if _ensure_agent_recorded(owner, shard, a)
+                agent
+                for agent in usable_agents
+                if _ensure_agent_recorded(owner, shard, agent)
             ]
         for task in list(owner.waiting.tasks(job)):
             agent = workers.choose_agent_from_sample(
@@ -55,13 +94,6 @@
                 skipped += 1
                 break
             _start_task(owner, shard, agent, task, now, starts)
-        if skipped > MAX_SKIPPED_JOBS:
-            break
-    for (agent_id, number), runs in starts.items():
-        shard = owner.shards[number]
-        life = owner.agents[agent_id].worker.life
-        message = StartRuns(number, shard.epoch, life, runs)
-        owner.commands.append(SendMessage(agent_id, message))
 
 
 def _ensure_agent_recorded(owner, shard, agent):
@@ -86,6 +118,7 @@
 def _agent_recorded(owner, subject, now):
     shard, agent_id = subject
     shard.usable_agents.add(agent_id)
+    owner.placement_events.capacity_freed(agent_id)
 
 
 def _start_task(owner, shard, agent, task, now, starts):
@@ -134,7 +167,7 @@
 
     ``reason`` is the agent's reason if the run did not start.
     """
-    workers.release_capacity(view, task)
+    release_capacity(owner, view, task)
     log(
         owner,
         "run.over",
