Accept a worker clock of 0 ms in a refusal

A refusal within the first millisecond of a worker carries clock_ms 0, which read_clock took for an unknown clock; a restarted agent would then wait for the next report.

Change: an absent clock is None. The new test sets the clock to 0 and failed before.

--- a/tests/node/test_worker_state.py
+++ b/tests/node/test_worker_state.py
@@ -106,6 +106,22 @@
     asyncio.run(test())
 
 
+def test_clock_of_a_worker_that_has_just_started_is_read(monkeypatch):
+    """Guards against a clock of 0 ms that is taken for an unknown one."""
+    monkeypatch.setattr(LeasedWorker, "clock_ms", 0)
+
+    async def test():
+        worker = LeasedWorker("i-1", 4000, {})
+        await worker.start()
+        client = WorkerClient(create_http_client(worker.address))
+        current_life = worker_life(born=worker.born)
+        await client.renew_lease(LeaseRenewal(50, 0, None, current_life, 0.0), 0.0)
+        assert await client.read_clock(current_life) == 0.0
+        worker.server.stop()
+
+    asyncio.run(test())
+
+
 def test_restarted_agent_resumes_without_a_report(run_site):
     """Covers the whole restart: stored state, worker clock, run lists and entries."""
 
--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -152,10 +152,10 @@
 class WorkerRefused(WorkerError):
     """The worker did not execute the command.
 
-    ``clock_ms`` is the worker's clock, or 0 if unknown.
+    ``clock_ms`` is the worker's clock, or None if unknown.
     """
 
-    def __init__(self, reason, clock_ms=0):
+    def __init__(self, reason, clock_ms=None):
         super().__init__(f"worker refused: {reason}")
         self.reason = reason
         self.clock_ms = clock_ms
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -55,7 +55,7 @@
 
 
 class _RefusalBody(msgspec.Struct):
-    clock_ms: int = 0
+    clock_ms: int | None = None
     reason: str = ""
 
 
@@ -136,7 +136,7 @@
             _raise_unless_accepted(reply)
         except WorkerRefused as refusal:
             # The worker refuses the low fence, but its refusal includes the clock.
-            if refusal.reason != "fence" or not refusal.clock_ms:
+            if refusal.reason != "fence" or refusal.clock_ms is None:
                 raise
             return refusal.clock_ms / 1000
 
