Tell entries of used capacity where it matters

Cause: an agent reported each change of the capacity that others use to each entry, up to 33 times a second and entry. Frames cost 65 to 91 us whatever they hold, and these were most of the frames at an entry.

Change: a report accompanies the messages that an entry gets anyway. Beyond those, only changes that matter for the choice of a worker are reported, to two entries at a time, the one with the oldest report first. An agent's reports no longer grow with entries.

--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -21,6 +21,7 @@
     worker_id_from_path,
 )
 from turmericknot.scheduling import (
+    usage_reports,
     worker_leases,
     worker_lists,
     worker_pace,
@@ -78,7 +79,7 @@
         "grant_requests_sent_at",
         "answered_at",
         "grant_sequence",
-        "reported_usage",
+        "known_usage",
     )
 
     def __init__(self, name, now):
@@ -87,7 +88,7 @@
         self.grant_requests_sent_at = {}  # sequence number -> time
         self.answered_at = now
         self.grant_sequence = 0
-        self.reported_usage = None  # capacity that other entries use, as last reported
+        self.known_usage = usage_reports.EntryUsage()
 
 
 class AgentNode:
@@ -239,16 +240,35 @@
 
     def _execute_commands(self):
         runs = self._runs
+        addressed_streams = set()
         while runs.commands:
             for command in runs.pop_commands():
                 if isinstance(command, SendToOwner):
                     self._links.send(command.stream, command.message)
+                    addressed_streams.add(command.stream)
                 elif isinstance(command, AgentLogLine):
                     self._log.info(command.event, **command.fields)
                 else:
                     self._call_worker(command)
+        if addressed_streams:
+            self._attach_usage_reports(addressed_streams)
         self._links.flush()
 
+    def _attach_usage_reports(self, streams):
+        """Report the usage to entries that are being sent other messages."""
+        usage = usage_reports.measure_usage(self._runs)
+        for stream in streams:
+            link = self._entries.get(self._address_by_stream.get(stream))
+            if link is None or link.stream != stream:
+                continue
+            foreign_usage = usage.foreign_to(stream)
+            if foreign_usage != link.known_usage.usage:
+                self._report_usage(link, foreign_usage)
+
+    def _report_usage(self, link, foreign_usage):
+        link.known_usage.record_report(foreign_usage, steady_time())
+        self._links.send(link.stream, wire.RoomReport(*foreign_usage))
+
     def _call_worker(self, call):
         method = self._start_run if isinstance(call, StartCall) else self._stop_run
         task = start_background_task(method(call), "order", self.on_task_failure)
@@ -431,7 +451,7 @@
             self._links.abort(stream, "not followed")
             return
         link.stream = stream
-        link.reported_usage = None
+        link.known_usage.forget()
         link.grant_requests_sent_at.clear()
         link.answered_at = steady_time()
         self._address_by_stream[stream] = key
@@ -472,7 +492,7 @@
             case wire.StartRuns():
                 if worker_starts.start_runs(runs, stream, message, now):
                     # A run was refused: the entry's figures are outdated. Report again.
-                    link.reported_usage = None
+                    link.known_usage.forget()
             case wire.StopRuns():
                 worker_starts.stop_runs(runs, stream, message, now)
             case wire.NoteEnds():
@@ -484,6 +504,7 @@
         link.grant_sequence += 1
         link.grant_requests_sent_at[link.grant_sequence] = now
         self._links.send(link.stream, wire.GrantRequest(link.grant_sequence))
+        self._attach_usage_reports((link.stream,))
 
     async def _request_grants(self):
         next_progress_at = 0.0
@@ -510,19 +531,28 @@
             self._execute_commands()
 
     async def _report_foreign_usage(self):
-        """Report to each entry, on change, the capacity that other entries use."""
+        """Report significant changes of the capacity that other entries use."""
         while True:
             await asyncio.sleep(FOREIGN_USAGE_INTERVAL_S)
-            if self._runs.life is not None:
-                worker_starts.start_queued_runs(self._runs, steady_time())
-                self._execute_commands()
-            for link in self._entries.values():
-                if link.stream is None:
-                    continue
-                foreign_usage = worker_starts.foreign_usage(self._runs, link.stream)
-                if foreign_usage != link.reported_usage:
-                    link.reported_usage = foreign_usage
-                    self._links.send(link.stream, wire.RoomReport(*foreign_usage))
+            life = self._runs.life
+            if life is None:
+                continue
+            worker_starts.start_queued_runs(self._runs, steady_time())
+            self._execute_commands()
+            open_links = {
+                link.stream: link
+                for link in self._entries.values()
+                if link.stream is not None
+            }
+            known_by_stream = {
+                stream: link.known_usage for stream, link in open_links.items()
+            }
+            usage = usage_reports.measure_usage(self._runs)
+            capacity = (life.cpu, life.memory, life.accelerators)
+            for stream, foreign_usage in usage_reports.choose_reports(
+                known_by_stream, usage, capacity
+            ):
+                self._report_usage(open_links[stream], foreign_usage)
             self._links.flush()
 
 
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -197,19 +197,3 @@
             continue
         end = next((end for _, end in state.ends.values() if end.name == name), None)
         report_end(state, request.shard, end or EndedRun(name, 0, RunEnd.STOPPED))
-
-
-def foreign_usage(state, stream):
-    """Return (cpu, memory, accelerators) used by the runs of other owners."""
-    own = {
-        number
-        for number, shard_grant in state.shards.items()
-        if shard_grant.stream == stream
-    }
-    cpu = memory = accelerators = 0
-    for run in state.runs.values():
-        if run.shard not in own:
-            cpu += run.cpu
-            memory += run.memory
-            accelerators += run.accelerators
-    return cpu, memory, accelerators
