Request grants on demand

Cause: every agent asked every entry for a grant four times a second, also where the entry had no run: at 35 x 690, some 2,760 requests a second at each entry.

Change: an agent renews the grants of entries that have runs there, or had some within half a second, and asks the others every 2 s. A run that arrives without a grant waits for the answer to a request sent at once. The owner gives such a run up after 0.3 s, with a stop that precedes any later grant on the stream. An entry of an older build, which does not announce that it takes this, is asked as before. A start is not sent to the worker when its grant has expired meanwhile, after a pause or a slow connect.

--- a/tests/aio/test_http.py
+++ b/tests/aio/test_http.py
@@ -7,7 +7,12 @@
 
 from turmericknot.aio.client import create_http_client
 from turmericknot.aio.server import HttpLimits, Response, create_http_server
-from turmericknot.core.exceptions import AddressInUse, CallAnswerLost, CallNotSent
+from turmericknot.core.exceptions import (
+    AddressInUse,
+    CallAnswerLost,
+    CallNotSent,
+    CallWithdrawn,
+)
 
 
 async def echo_handler(request):
@@ -52,6 +57,28 @@
     asyncio.run(main())
 
 
+def test_withdrawn_call_is_not_sent():
+    """Guards against a call whose permission ended while its connection opened."""
+
+    async def main():
+        received = []
+
+        async def handler(request):
+            received.append(request.path)
+            return Response(200)
+
+        async with running_server(handler) as (server, address):
+            client = create_http_client(address)
+            with pytest.raises(CallWithdrawn):
+                await client.request("POST", "/late", may_send=lambda: False)
+            await client.request("POST", "/ok", may_send=lambda: True)
+            assert received == ["/ok"]
+            assert client.connections_opened == 1
+            client.close()
+
+    asyncio.run(main())
+
+
 def test_pipelined_responses_keep_request_order():
     """Guards against matching a response to the wrong request."""
 
--- a/tests/scheduling/delivery.py
+++ b/tests/scheduling/delivery.py
@@ -13,6 +13,7 @@
         case wire.Grant():
             requested_at = sent_at if message.sequence else None
             worker_leases.grant_received(state, stream, message, requested_at, now)
+            worker_starts.start_queued_runs(state, now)
         case wire.StartRuns():
             worker_starts.start_runs(state, stream, message, now)
         case wire.StopRuns():
--- a/turmericknot/aio/client.py
+++ b/turmericknot/aio/client.py
@@ -10,7 +10,7 @@
 import httptools
 
 from turmericknot.core.addresses import split_address
-from turmericknot.core.exceptions import CallAnswerLost, CallNotSent
+from turmericknot.core.exceptions import CallAnswerLost, CallNotSent, CallWithdrawn
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 8
@@ -58,17 +58,24 @@
         """Return the number of connections opened so far."""
         return self._connections_opened
 
-    async def request(self, method, target, body=b"", headers=(), timeout_s=2.0):
+    async def request(
+        self, method, target, body=b"", headers=(), timeout_s=2.0, may_send=None
+    ):
         """Send a request and return its ClientResponse.
 
         ``timeout_s`` limits the connection attempt and, separately, the wait for the
-        response. Raise CallNotSent if the peer has certainly not received the request
-        and CallAnswerLost if it may have received it.
+        response. ``may_send()`` is asked once the connection is open. Raise CallNotSent
+        if the peer has certainly not received the request, its subclass CallWithdrawn
+        if ``may_send()`` returned False, and CallAnswerLost if the peer may have
+        received it.
         """
         loop = asyncio.get_running_loop()
         connection = self._take_idle_connection(loop.time()) or await self._connect(
             timeout_s
         )
+        if may_send is not None and not may_send():
+            self._idle_connections.append((loop.time(), connection))
+            raise CallWithdrawn(f"{self._address}: the call is no longer allowed")
         response_future = connection.send(method, target, body, headers)
         try:
             async with asyncio.timeout(timeout_s):
--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -105,6 +105,10 @@
     """The peer has certainly not received the call."""
 
 
+class CallWithdrawn(CallNotSent):
+    """The caller no longer wanted the call when it could be sent."""
+
+
 class CallAnswerLost(CallError):
     """The peer may have received and executed the call."""
 
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -28,6 +28,7 @@
     worker_runs,
     worker_starts,
 )
+from turmericknot.scheduling.grant_requests import create_grant_requests
 from turmericknot.scheduling.jobs import agent_key
 from turmericknot.scheduling.worker_runs import create_worker_runs
 from turmericknot.scheduling.worker_types import AgentLogLine, SendToOwner, StartCall
@@ -48,11 +49,8 @@
 from .traffic_log import log_traffic
 from .worker_state import create_worker_state_store
 
-GRANT_REQUEST_INTERVAL_S = 0.25
+GRANT_CHECK_INTERVAL_S = 0.25
 FOREIGN_USAGE_INTERVAL_S = 0.03
-# The link to an entry that has not answered a grant request for this long is
-# reconnected.
-ENTRY_TIMEOUT_S = 1.3
 # Longest time that a renewal waits for the end of a run. A lease of 1 s survives two
 # lost renewals.
 RENEWAL_WAIT_S = 0.25
@@ -76,18 +74,16 @@
     __slots__ = (
         "name",
         "stream",
-        "grant_requests_sent_at",
+        "grant_requests",
         "answered_at",
-        "grant_sequence",
         "known_usage",
     )
 
     def __init__(self, name, now):
         self.name = name
         self.stream = None
-        self.grant_requests_sent_at = {}  # sequence number -> time
+        self.grant_requests = create_grant_requests()
         self.answered_at = now
-        self.grant_sequence = 0
         self.known_usage = usage_reports.EntryUsage()
 
 
@@ -278,7 +274,7 @@
     async def _start_run(self, call):
         try:
             async with self._start_slots:
-                await self._worker_client.start(call)
+                await self._worker_client.start(call, lambda: self._may_send(call))
         except WorkerRefused as error:
             self._log.info("start.refused", job=call.name.job, reason=error.reason)
             if error.reason == "fence" and call.fence >= self._runs.fence:
@@ -292,6 +288,9 @@
             worker_starts.start_confirmed(self._runs, call.name, steady_time())
         self._execute_commands()
 
+    def _may_send(self, call):
+        return worker_starts.may_send_start(self._runs, call, steady_time())
+
     async def _stop_run(self, call):
         try:
             await self._worker_client.stop(call)
@@ -452,15 +451,17 @@
             return
         link.stream = stream
         link.known_usage.forget()
-        link.grant_requests_sent_at.clear()
-        link.answered_at = steady_time()
+        now = steady_time()
+        on_demand = isinstance(first_message, wire.Grant) and first_message.on_demand
+        link.grant_requests.stream_opened(on_demand, now)
+        link.answered_at = now
         self._address_by_stream[stream] = key
         self._log.info("entry.connected", entry=key)
         self._on_received(stream, [first_message])
         # The worker may have changed since the hello was sent.
         report = worker_runs.worker_report(self._runs)
         self._links.send(stream, wire.WorkerChanged(report))
-        self._request_grant(link, steady_time())
+        self._request_grant(link, now)
         self._links.flush()
 
     def _on_closed(self, stream, reason):
@@ -483,16 +484,21 @@
         runs = self._runs
         match message:
             case wire.Grant():
-                sent_at = link.grant_requests_sent_at.pop(message.sequence, None)
+                sent_at = link.grant_requests.pop_sent_at(message.sequence)
+                worker_leases.grant_received(runs, stream, message, sent_at, now)
+                worker_starts.start_queued_runs(runs, now)
                 if sent_at is not None:
                     link.answered_at = now
                 elif message.shards:
+                    self._execute_commands()  # the inventory precedes the request
                     self._request_grant(link, now)
-                worker_leases.grant_received(runs, stream, message, sent_at, now)
             case wire.StartRuns():
+                link.grant_requests.entry_uses_worker(now)
                 if worker_starts.start_runs(runs, stream, message, now):
                     # A run was refused: the entry's figures are outdated. Report again.
                     link.known_usage.forget()
+                if worker_starts.needs_grant(runs, stream, now):
+                    self._request_grant(link, now)
             case wire.StopRuns():
                 worker_starts.stop_runs(runs, stream, message, now)
             case wire.NoteEnds():
@@ -501,26 +507,29 @@
                     self._ends_acknowledged.set()
 
     def _request_grant(self, link, now):
-        link.grant_sequence += 1
-        link.grant_requests_sent_at[link.grant_sequence] = now
-        self._links.send(link.stream, wire.GrantRequest(link.grant_sequence))
+        sequence = link.grant_requests.record_request(now)
+        self._links.send(link.stream, wire.GrantRequest(sequence))
         self._attach_usage_reports((link.stream,))
 
     async def _request_grants(self):
         next_progress_at = 0.0
         while True:
-            await asyncio.sleep(GRANT_REQUEST_INTERVAL_S)
+            await asyncio.sleep(GRANT_CHECK_INTERVAL_S)
             now = steady_time()
+            streams_in_use = worker_leases.streams_in_use(self._runs)
             for address, link in self._entries.items():
                 if link.stream is None:
                     continue
-                if now - link.answered_at > ENTRY_TIMEOUT_S:
+                if link.grant_requests.is_unanswered(now):
                     self._log.warning("entry.silent", entry=address)
                     stream, link.stream = link.stream, None
                     worker_leases.stream_closed(self._runs, stream)
                     self._links.abort(stream, "silent")
                     continue
-                self._request_grant(link, now)
+                if link.stream in streams_in_use:
+                    link.grant_requests.entry_uses_worker(now)
+                if link.grant_requests.is_due(now):
+                    self._request_grant(link, now)
             worker_leases.check_grants(self._runs, now)
             if worker_runs.expire_recalled_worker(self._runs, now):
                 self._send_worker_report()
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -7,6 +7,7 @@
 from turmericknot.core.exceptions import (
     CallAnswerLost,
     CallNotSent,
+    CallWithdrawn,
     MessageError,
     WorkerRefused,
     WorkerUnavailable,
@@ -77,9 +78,11 @@
 
     http_client: object
 
-    async def start(self, call):
+    async def start(self, call, may_send):
         """Start a run; raise WorkerRefused when the worker did not start it.
 
+        ``may_send()`` is asked just before the call is written; if it returns False,
+        nothing is sent and the reason of the WorkerRefused is ``no_grant``.
         Raise WorkerUnavailable when it is not known whether the run has started.
         """
         body = {
@@ -89,7 +92,7 @@
             "deadline_ms": call.deadline_ms,
             "fence_token": call.fence,
         }
-        reply = await self._post("/run-start", body, call.life)
+        reply = await self._post("/run-start", body, call.life, may_send=may_send)
         _raise_unless_accepted(reply)
 
     async def stop(self, call):
@@ -140,7 +143,7 @@
                 raise
             return refusal.clock_ms / 1000
 
-    async def _post(self, path, body, life, wait_s=0.0):
+    async def _post(self, path, body, life, wait_s=0.0, may_send=None):
         headers = (
             ("Content-Type", "application/json"),
             (EXPECT_INSTANCE_HEADER, life.id),
@@ -149,8 +152,10 @@
         timeout_s = WORKER_CALL_TIMEOUT_S + wait_s
         try:
             return await self.http_client.request(
-                "POST", path, data, headers, timeout_s
+                "POST", path, data, headers, timeout_s, may_send
             )
+        except CallWithdrawn as error:
+            raise WorkerRefused("no_grant") from error
         except CallNotSent as error:
             raise WorkerRefused("unreachable") from error
         except CallAnswerLost as error:
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -25,6 +25,8 @@
     ``grant_s``: how long an agent acts on a grant.
     ``grant_margin_s``: wait on top of that before the owner gives up the runs of a
     silent agent; covers a steady clock that is 2% slow and the stop of a run.
+    ``start_without_grant_s``: how long a run at an agent without a grant may wait for
+    the agent to request one, before the owner gives the run up.
     ``unconfirmed_grants_s``: how long the owner keeps granting after the store last
     confirmed its ownership.
     ``exclusive_after_confirmation_s``: how long after such a confirmation no other
@@ -39,6 +41,7 @@
 
     grant_s: float = GRANT_S
     grant_margin_s: float = 0.15
+    start_without_grant_s: float = 0.3
     unconfirmed_grants_s: float = 6.0
     exclusive_after_confirmation_s: float = 1.4
     finished_job_retention_s: float = 120.0
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -68,7 +68,7 @@
     worker_changed(owner, hello.agent, hello.worker, now)
     log(owner, "agent.connected", agent=hello.agent, boot=hello.boot)
     # Completes the handshake, even if the entry owns no shard.
-    greeting = wire.Grant(0, granted_shards(owner, now, view))
+    greeting = wire.Grant(0, granted_shards(owner, now, view), on_demand=True)
     owner.commands.append(SendMessage(hello.agent, greeting))
 
 
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -1,6 +1,8 @@
 """The owner's decisions on runs: task placement and actions that time triggers."""
 
-from turmericknot.wire.shard_messages import RunStart, StartRuns
+import math
+
+from turmericknot.wire.shard_messages import RunName, RunStart, StartRuns
 
 from . import besteffort, workers
 from .commands import SendMessage, StoreRecord
@@ -248,14 +250,28 @@
 
 
 def _expire_agents(owner, now):
-    """Give up the runs of agents whose grants have expired."""
+    """Give up the runs of agents whose grants have expired.
+
+    A run that was sent after that has not started: without a grant, the agent queues
+    it and requests one. The stop that precedes the next grant on the stream removes it
+    from the agent's queue.
+    """
     for view in owner.agents.values():
-        if view.is_expired or now < view.granted_until + owner.times.grant_margin_s:
+        if now < view.granted_until + owner.times.grant_margin_s:
             continue
         view.is_expired = True
-        if view.tasks:
-            log(owner, "agent.expired", agent=view.id, runs=len(view.tasks))
-        for task in list(view.tasks.values()):
+        overdue = [
+            task
+            for task in view.tasks.values()
+            if now - task.started_at >= owner.times.start_without_grant_s
+        ]
+        if not overdue:
+            continue
+        log(owner, "agent.expired", agent=view.id, runs=len(overdue))
+        view.last_request_at = -math.inf  # gets no new run before its next request
+        for task in overdue:
+            name = RunName(task.job.id, task.step, task.index, task.run)
+            send_stop(owner, view.id, task.job.shard, name)
             run_ended_without_result(owner, view, task, RunEnd.LOST, now)
 
 
--- a/turmericknot/scheduling/worker_leases.py
+++ b/turmericknot/scheduling/worker_leases.py
@@ -37,6 +37,8 @@
             shard_grant = state.shards[shard.shard] = ShardGrant(shard.epoch, stream)
             _report_runs_to_owner(state, shard.shard, shard_grant)
         elif shard.epoch > shard_grant.epoch or shard_grant.stream != stream:
+            if shard.epoch > shard_grant.epoch:
+                _drop_queued_runs(state, shard.shard)
             shard_grant.epoch = shard.epoch
             shard_grant.stream = stream
             _report_runs_to_owner(state, shard.shard, shard_grant)
@@ -47,6 +49,17 @@
             shard_grant.is_lapsed = False
 
 
+def _drop_queued_runs(state, number):
+    """Drop runs that a replaced owner has requested and that have not started.
+
+    They must not start under the grant of the new owner, whose tasks they may repeat.
+    """
+    for name, run in list(state.runs.items()):
+        if run.shard == number and run.pending_start is not None:
+            del state.runs[name]
+            log(state, "run.dropped", job=name.job, shard=number)
+
+
 def _report_runs_to_owner(state, number, shard_grant):
     """Report all runs and ends of a shard to an owner that is new or reconnected."""
     if not state.is_synced:
@@ -178,6 +191,17 @@
     return shards
 
 
+def streams_in_use(state):
+    """Return the streams to the entries that have runs or unacknowledged ends here."""
+    shards = {run.shard for run in state.runs.values()}
+    shards.update(shard for shard, _ in state.ends.values())
+    return {
+        state.shards[shard].stream
+        for shard in shards
+        if shard in state.shards and state.shards[shard].stream is not None
+    }
+
+
 def ends_acknowledged(state, life, numbers):
     """Let the worker forget ends; takes effect with the next lease renewal."""
     if state.life is None or state.life.key != life:
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -10,11 +10,18 @@
 from .worker_types import Run, SendToOwner, StartCall
 
 MAX_QUEUED_RUNS = 16  # runs that may wait for capacity
+# How long a queued run waits for the answer to a grant request. The owner gives the run
+# up after about the same time.
+GRANT_WAIT_S = 0.3
 MIN_PROGRESS_PERCENT = 5  # less progress predicts the end of a run poorly
 
 
 def start_runs(state, stream, request, now):
-    """Queue or refuse the requested runs; return whether any was refused."""
+    """Queue or refuse the requested runs; return whether any was refused.
+
+    Runs without a valid grant are queued as well: ``needs_grant`` then tells that a
+    grant must be requested at once.
+    """
     refused = []
     shard_grant = state.shards.get(request.shard)
     for start in request.runs:
@@ -53,10 +60,15 @@
     queued.sort(key=lambda run: (run.pending_start.priority, run.due_at))
     waiting_priority = math.inf  # of the most urgent run without capacity
     for run in queued:
-        shard_grant = state.shards.get(run.shard)
-        if shard_grant is None or now >= shard_grant.expires_at - GRANT_STOP_MARGIN_S:
-            start_refused(state, run.name, "no_grant")
-        elif not state.life.usable or state.is_shutting_down or state.is_outdated:
+        if not has_valid_grant(state, run.shard, now):
+            if now - run.queued_at > GRANT_WAIT_S:
+                start_refused(state, run.name, "no_grant")
+            run.has_waited_for_grant = True
+            continue
+        if run.has_waited_for_grant:
+            run.has_waited_for_grant = False
+            run.queued_at = now
+        if not state.life.usable or state.is_shutting_down or state.is_outdated:
             start_refused(state, run.name, "no_worker")
         elif run.pending_start.priority <= waiting_priority and _has_capacity(
             state, run
@@ -68,6 +80,35 @@
             waiting_priority = min(waiting_priority, run.pending_start.priority)
 
 
+def has_valid_grant(state, shard, now):
+    """Return whether runs of the shard may start now."""
+    shard_grant = state.shards.get(shard)
+    return (
+        shard_grant is not None and now < shard_grant.expires_at - GRANT_STOP_MARGIN_S
+    )
+
+
+def needs_grant(state, stream, now):
+    """Return whether a queued run of the entry on this stream waits for a grant."""
+    return any(
+        run.pending_start is not None
+        and not has_valid_grant(state, run.shard, now)
+        and run.shard in state.shards
+        and state.shards[run.shard].stream == stream
+        for run in state.runs.values()
+    )
+
+
+def may_send_start(state, call, now):
+    """Return whether a start may still be sent to the worker.
+
+    The process may have been paused, or a connection may have taken long to open, since
+    the start was decided. The owner may have started the task elsewhere by then.
+    """
+    run = state.runs.get(call.name)
+    return run is not None and has_valid_grant(state, run.shard, now)
+
+
 def expected_wait_s(state, run, now):
     """Return the seconds until the worker should have capacity for a queued run.
 
@@ -138,8 +179,6 @@
         or shard_grant.stream != stream
     ):
         return "fenced"
-    if now >= shard_grant.expires_at - GRANT_STOP_MARGIN_S:
-        return "no_grant"
     life = state.life
     if life is None or life.key != request.life or not life.usable:
         return "no_worker"
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -66,7 +66,8 @@
     stop_sent_at: float = 0.0
     is_inherited: bool = False  # listed, but unknown to this agent process
     pending_start: object = None  # RunStart of a run that is still queued
-    queued_at: float = 0.0
+    queued_at: float = 0.0  # start of the wait for a grant, then for capacity
+    has_waited_for_grant: bool = False
     due_at: float = 0.0
     expected: float = 0.0  # seconds
     percent: int = 0
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -18,8 +18,11 @@
 AGENT_SAMPLE_SIZE = 24
 # An agent that refused a run gets no new runs for this long.
 REFUSAL_BACKOFF_S = 0.05
-# An agent whose last grant request is older than this gets no new runs.
+# An agent with runs whose last grant request is older than this gets no new runs.
 MAX_GRANT_REQUEST_AGE_S = 0.8
+# The same for an agent without runs, which sends a request every 2 s. It gets no second
+# run until it has requested a grant for the first one.
+MAX_IDLE_GRANT_REQUEST_AGE_S = 2.8
 
 
 class AgentView:
@@ -82,12 +85,14 @@
 
 def is_usable(agent, now):
     """Return whether the agent may get new runs."""
+    max_request_age_s = (
+        MAX_GRANT_REQUEST_AGE_S if agent.tasks else MAX_IDLE_GRANT_REQUEST_AGE_S
+    )
     return (
         agent.is_connected
-        and not agent.is_expired
         and agent.worker is not None
         and agent.worker.usable
-        and now - agent.last_request_at < MAX_GRANT_REQUEST_AGE_S
+        and now - agent.last_request_at < max_request_age_s
         and now >= max(agent.suspended_until, agent.refusal_backoff_until)
         and not (agent.is_probing and agent.tasks)
     )
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -63,10 +63,14 @@
 
     ``sequence`` is that of the request. A Grant with sequence 0 answers no request: it
     announces a new owner and does not extend the agent's lease.
+
+    ``on_demand`` in the first Grant of a stream: the entry keeps using an agent that
+    requests grants only now and then while it has no runs of the entry.
     """
 
     sequence: int
     shards: list[ShardEpoch]
+    on_demand: bool = False
 
 
 class RunStart(msgspec.Struct, array_like=True, frozen=True):
