Move the links of an agent to the entries into a module of their own

node/agent.py held the discovery of entries, the grant requests and the usage reports beside the calls to the worker. Behaviour is unchanged; tests/node pass.

--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -14,43 +14,35 @@
     WorkerUnavailable,
 )
 from turmericknot.core.ids import create_incarnation_id
-from turmericknot.platform.store import ENTRIES_TOPIC, JOBS_TOPIC, create_store
+from turmericknot.platform.store import JOBS_TOPIC, create_store
 from turmericknot.platform.workers import (
     WorkerClient,
     decode_worker_report,
     worker_id_from_path,
 )
 from turmericknot.scheduling import (
-    usage_reports,
     worker_leases,
     worker_lists,
     worker_pace,
     worker_runs,
     worker_starts,
 )
-from turmericknot.scheduling.grant_requests import create_grant_requests
 from turmericknot.scheduling.jobs import agent_key
 from turmericknot.scheduling.worker_runs import create_worker_runs
 from turmericknot.scheduling.worker_types import AgentLogLine, SendToOwner, StartCall
 from turmericknot.utils.logging import get_logger
 from turmericknot.wire import shard_messages as wire
-from turmericknot.wire.links import LinkCallbacks, create_links
-from turmericknot.wire.messages import PROTOCOL_VERSION
 
 from .clock import steady_time
-from .constants import REDIAL_LIMIT_S, SHARD_COUNT
+from .constants import SHARD_COUNT
+from .entry_links import create_entry_links
 from .metrics import start_metrics_server
-from .registration import (
-    FORGET_ENTRY_AFTER_S,
-    STALE_REGISTRATION_AGE_S,
-    decode_registration,
-)
 from .tasks import start_background_task
 from .traffic_log import log_traffic
 from .worker_state import create_worker_state_store
 
 GRANT_CHECK_INTERVAL_S = 0.25
-FOREIGN_USAGE_INTERVAL_S = 0.03
+QUEUE_CHECK_INTERVAL_S = 0.03
 # Longest time that a renewal waits for the end of a run. A lease of 1 s survives two
 # lost renewals.
 RENEWAL_WAIT_S = 0.25
@@ -61,32 +53,12 @@
 # Longest pause between renewals while ends wait for acknowledgement by their owners.
 ACKNOWLEDGEMENT_WAIT_S = 0.05
 RETRY_DELAY_S = 0.3
-POLL_WAIT_S = 8.0
 # Each attempt reads all records of all shards. Often the end of the worker's lease,
 # after 1 s, makes it unnecessary.
 INHERITED_SHARDS_RETRY_DELAY_S = 1.0
 SIGKILL_MARGIN_S = 1.2  # the process exits this long before the platform's SIGKILL
 
 
-class EntryLink:
-    """The stream to one entry and the grant requests sent on it."""
-
-    __slots__ = (
-        "name",
-        "stream",
-        "grant_requests",
-        "answered_at",
-        "known_usage",
-    )
-
-    def __init__(self, name, now):
-        self.name = name
-        self.stream = None
-        self.grant_requests = create_grant_requests()
-        self.answered_at = now
-        self.known_usage = usage_reports.EntryUsage()
-
-
 class AgentNode:
     """One agent; it runs in one event loop."""
 
@@ -95,9 +67,8 @@
         "_log",
         "_boot_id",
         "_runs",
-        "_links",
         "_entries",
-        "_address_by_stream",
+        "_links",
         "_store",
         "_worker_client",
         "_shutdown",
@@ -120,16 +91,15 @@
             settings.bounds.lease_ms / 1000,
             steady_time(),
         )
-        callbacks = LinkCallbacks(
-            self._on_opened,
-            self._on_received,
-            self._on_closed,
-            lambda key, refused: None,
-        )
-        self._links = create_links(callbacks, redial_max_delay_s=REDIAL_LIMIT_S)
-        self._entries = {}  # address -> EntryLink
-        self._address_by_stream = {}  # stream -> address
         self._store = create_store(settings.store.address, settings.store.partitions)
+        self._entries = create_entry_links(
+            settings,
+            self._boot_id,
+            self._runs,
+            self._store,
+            self._handle_entry_messages,
+        )
+        self._links = self._entries.links
         self._worker_client = WorkerClient(create_http_client(settings.worker_address))
         self._shutdown = asyncio.Event()
         self._failed_task = ""
@@ -163,11 +133,9 @@
         start_background_task(self._restore_worker(), "recall", self.on_task_failure)
         start_background_task(self._worker_state.run(), "memory", self.on_task_failure)
         start_background_task(self._renew_lease(), "hold", self.on_task_failure)
-        start_background_task(self._discover_entries(), "entries", self.on_task_failure)
-        start_background_task(self._request_grants(), "grants", self.on_task_failure)
-        start_background_task(
-            self._report_foreign_usage(), "room", self.on_task_failure
-        )
+        start_background_task(self._entries.run(), "entries", self.on_task_failure)
+        start_background_task(self._check_grants(), "grants", self.on_task_failure)
+        start_background_task(self._start_queued_runs(), "queue", self.on_task_failure)
         start_background_task(
             log_traffic(self._links.traffic, "agent"), "traffic", self.on_task_failure
         )
@@ -179,11 +147,10 @@
 
     def _read_metric_values(self):
         runs = self._runs
-        connected_links = [link for link in self._entries.values() if link.stream]
         gauges = {
             "runs": len(runs.runs),
             "ends_not_noted": len(runs.ends),
-            "entries_connected": len(connected_links),
+            "entries_connected": self._entries.connected_count,
             "worker_present": int(runs.life is not None),
             "runs_known": int(runs.is_synced),
         }
@@ -193,7 +160,7 @@
         """Refuse new runs and wait until the present ones have ended."""
         self._log.info("agent.stopping", runs=len(self._runs.runs))
         self._runs.is_shutting_down = True
-        self._send_worker_report()
+        self._entries.send_worker_report()
         deadline = steady_time() + self._settings.bounds.stop_grace_s - SIGKILL_MARGIN_S
         while self._runs.runs and steady_time() < deadline:
             await asyncio.sleep(0.05)
@@ -208,7 +175,7 @@
         if request.method == "DELETE":
             if worker_runs.worker_left(self._runs, worker_id, now):
                 self._worker_state.save(None)
-                self._send_worker_report()
+                self._entries.send_worker_report()
                 self._execute_commands()
             return Response(200)
         if request.method != "PUT":
@@ -222,18 +189,11 @@
             return Response(400)
         if worker_runs.worker_reported(self._runs, life, now):
             self._renew_now.set()
-            self._send_worker_report()
+            self._entries.send_worker_report()
         self._worker_state.save(self._runs.life)
         self._execute_commands()
         return Response(200, b"{}")
 
-    def _send_worker_report(self):
-        message = wire.WorkerChanged(worker_runs.worker_report(self._runs))
-        for link in self._entries.values():
-            if link.stream is not None:
-                self._links.send(link.stream, message)
-        self._links.flush()
-
     def _execute_commands(self):
         runs = self._runs
         addressed_streams = set()
@@ -247,24 +207,9 @@
                 else:
                     self._call_worker(command)
         if addressed_streams:
-            self._attach_usage_reports(addressed_streams)
+            self._entries.attach_usage_reports(addressed_streams)
         self._links.flush()
 
-    def _attach_usage_reports(self, streams):
-        """Report the usage to entries that are being sent other messages."""
-        usage = usage_reports.measure_usage(self._runs)
-        for stream in streams:
-            link = self._entries.get(self._address_by_stream.get(stream))
-            if link is None or link.stream != stream:
-                continue
-            foreign_usage = usage.foreign_to(stream)
-            if foreign_usage != link.known_usage.usage:
-                self._report_usage(link, foreign_usage)
-
-    def _report_usage(self, link, foreign_usage):
-        link.known_usage.record_report(foreign_usage, steady_time())
-        self._links.send(link.stream, wire.RoomReport(*foreign_usage))
-
     def _call_worker(self, call):
         method = self._start_run if isinstance(call, StartCall) else self._stop_run
         task = start_background_task(method(call), "order", self.on_task_failure)
@@ -364,7 +309,7 @@
                     loading, "former shards", self.on_task_failure
                 )
             if flags_before != (self._runs.is_synced, self._runs.is_outdated):
-                self._send_worker_report()
+                self._entries.send_worker_report()
             self._execute_commands()
             if self._runs.ends:
                 await self._wait_until_ends_acknowledged()
@@ -401,104 +346,24 @@
         self._ends_acknowledged.clear()
         await _wait_for_event(self._ends_acknowledged, ACKNOWLEDGEMENT_WAIT_S)
 
-    async def _discover_entries(self):
-        """Follow the registrations of entries in the store and connect to them."""
-        newest_time = 0.0
-        records = self._store.follow(
-            ENTRIES_TOPIC, POLL_WAIT_S, RETRY_DELAY_S, "entries"
-        )
-        async for record in records:
-            try:
-                registration = decode_registration(record.value)
-            except MessageError as error:
-                self._log.warning("registration.unreadable", reason=str(error))
-                continue
-            newest_time = max(newest_time, registration.time)
-            if registration.time > newest_time - STALE_REGISTRATION_AGE_S:
-                self._connect_entry(record.key, registration.address)
-
-    def _connect_entry(self, name, address):
-        """Connect to an entry; drop the previous address of an entry that has moved."""
-        for known_address, link in list(self._entries.items()):
-            if link.name == name and known_address != address:
-                self._links.stop_dialing(known_address)
-                del self._entries[known_address]
-        if address not in self._entries:
-            self._entries[address] = EntryLink(name, steady_time())
-            self._links.dial(address, address, self._create_hello)
-
-    def _forget_unreachable_entries(self, now):
-        """Stop reconnecting to entries that are gone, until they register again."""
-        for address, link in list(self._entries.items()):
-            if link.stream is None and now - link.answered_at > FORGET_ENTRY_AFTER_S:
-                self._log.info("entry.forgotten", entry=address)
-                self._links.stop_dialing(address)
-                del self._entries[address]
-
-    def _create_hello(self):
-        return wire.AgentHello(
-            PROTOCOL_VERSION,
-            self._settings.node,
-            self._boot_id,
-            self._settings.failure_domain,
-            worker_runs.worker_report(self._runs),
-        )
-
-    def _on_opened(self, stream, first_message, key):
-        link = self._entries.get(key)
-        if link is None:
-            self._links.abort(stream, "not followed")
-            return
-        link.stream = stream
-        link.known_usage.forget()
-        now = steady_time()
-        on_demand = isinstance(first_message, wire.Grant) and first_message.on_demand
-        link.grant_requests.stream_opened(on_demand, now)
-        link.answered_at = now
-        self._address_by_stream[stream] = key
-        self._log.info("entry.connected", entry=key)
-        self._on_received(stream, [first_message])
-        # The worker may have changed since the hello was sent.
-        report = worker_runs.worker_report(self._runs)
-        self._links.send(stream, wire.WorkerChanged(report))
-        self._request_grant(link, now)
-        self._links.flush()
-
-    def _on_closed(self, stream, reason):
-        link = self._entries.get(self._address_by_stream.pop(stream, None))
-        if link is not None and link.stream == stream:
-            link.stream = None
-        worker_leases.stream_closed(self._runs, stream)
-        self._log.info("entry.disconnected", reason=reason)
-
-    def _on_received(self, stream, messages):
-        link = self._entries.get(self._address_by_stream.get(stream))
-        if link is None or link.stream != stream:
-            return
+    def _handle_entry_messages(self, link, messages):
         now = steady_time()
         for message in messages:
-            self._handle_entry_message(stream, link, message, now)
+            self._handle_entry_message(link, message, now)
         self._execute_commands()
 
-    def _handle_entry_message(self, stream, link, message, now):
-        runs = self._runs
+    def _handle_entry_message(self, link, message, now):
+        runs, stream = self._runs, link.stream
         match message:
             case wire.Grant():
-                sent_at = link.grant_requests.pop_sent_at(message.sequence)
-                worker_leases.grant_received(runs, stream, message, sent_at, now)
-                worker_starts.start_queued_runs(runs, now)
-                if sent_at is not None:
-                    link.answered_at = now
-                elif message.shards:
-                    self._execute_commands()  # the inventory precedes the request
-                    self._request_grant(link, now)
+                self._handle_grant(link, message, now)
             case wire.StartRuns():
                 link.grant_requests.entry_uses_worker(now)
                 if worker_starts.start_runs(runs, stream, message, now):
                     # A run was refused: the entry's figures are outdated. Report again.
                     link.known_usage.forget()
                 if worker_starts.needs_grant(runs, stream, now):
-                    self._request_grant(link, now)
+                    self._entries.request_grant(link, now)
             case wire.StopRuns():
                 worker_starts.stop_runs(runs, stream, message, now)
             case wire.NoteEnds():
@@ -506,63 +371,40 @@
                 if not runs.ends:
                     self._ends_acknowledged.set()
 
-    def _request_grant(self, link, now):
-        sequence = link.grant_requests.record_request(now)
-        self._links.send(link.stream, wire.GrantRequest(sequence))
-        self._attach_usage_reports((link.stream,))
-
-    async def _request_grants(self):
+    def _handle_grant(self, link, grant, now):
+        sent_at = link.grant_requests.pop_sent_at(grant.sequence)
+        worker_leases.grant_received(self._runs, link.stream, grant, sent_at, now)
+        worker_starts.start_queued_runs(self._runs, now)
+        if sent_at is not None:
+            link.answered_at = now
+        elif grant.shards:
+            self._execute_commands()  # the inventory precedes the request
+            self._entries.request_grant(link, now)
+
+    async def _check_grants(self):
         next_progress_at = 0.0
         while True:
             await asyncio.sleep(GRANT_CHECK_INTERVAL_S)
             now = steady_time()
-            streams_in_use = worker_leases.streams_in_use(self._runs)
-            for address, link in self._entries.items():
-                if link.stream is None:
-                    continue
-                if link.grant_requests.is_unanswered(now):
-                    self._log.warning("entry.silent", entry=address)
-                    stream, link.stream = link.stream, None
-                    worker_leases.stream_closed(self._runs, stream)
-                    self._links.abort(stream, "silent")
-                    continue
-                if link.stream in streams_in_use:
-                    link.grant_requests.entry_uses_worker(now)
-                if link.grant_requests.is_due(now):
-                    self._request_grant(link, now)
+            self._entries.renew_grants(now)
             worker_leases.check_grants(self._runs, now)
             if worker_runs.expire_recalled_worker(self._runs, now):
-                self._send_worker_report()
-            self._forget_unreachable_entries(now)
+                self._entries.send_worker_report()
+            self._entries.forget_unreachable_entries(now)
             if now >= next_progress_at:
                 worker_pace.report_progress(self._runs, now)
                 next_progress_at = now + worker_pace.PROGRESS_INTERVAL_S
             self._execute_commands()
 
-    async def _report_foreign_usage(self):
-        """Report significant changes of the capacity that other entries use."""
+    async def _start_queued_runs(self):
+        """Start queued runs and report significant changes of the used capacity."""
         while True:
-            await asyncio.sleep(FOREIGN_USAGE_INTERVAL_S)
-            life = self._runs.life
-            if life is None:
+            await asyncio.sleep(QUEUE_CHECK_INTERVAL_S)
+            if self._runs.life is None:
                 continue
             worker_starts.start_queued_runs(self._runs, steady_time())
             self._execute_commands()
-            open_links = {
-                link.stream: link
-                for link in self._entries.values()
-                if link.stream is not None
-            }
-            known_by_stream = {
-                stream: link.known_usage for stream, link in open_links.items()
-            }
-            usage = usage_reports.measure_usage(self._runs)
-            capacity = (life.cpu, life.memory, life.accelerators)
-            for stream, foreign_usage in usage_reports.choose_reports(
-                known_by_stream, usage, capacity
-            ):
-                self._report_usage(open_links[stream], foreign_usage)
-            self._links.flush()
+            self._entries.report_usage()
 
 
 async def _wait_for_event(event, timeout_s):
--- /dev/null
+++ b/turmericknot/node/entry_links.py
@@ -0,0 +1,232 @@
+"""The links of an agent to the entries: discovery, grant requests, usage reports."""
+
+from turmericknot.core.exceptions import MessageError
+from turmericknot.platform.store import ENTRIES_TOPIC
+from turmericknot.scheduling import usage_reports, worker_leases, worker_runs
+from turmericknot.scheduling.grant_requests import create_grant_requests
+from turmericknot.utils.logging import get_logger
+from turmericknot.wire import shard_messages as wire
+from turmericknot.wire.links import LinkCallbacks, create_links
+from turmericknot.wire.messages import PROTOCOL_VERSION
+
+from .clock import steady_time
+from .constants import REDIAL_LIMIT_S
+from .registration import (
+    FORGET_ENTRY_AFTER_S,
+    STALE_REGISTRATION_AGE_S,
+    decode_registration,
+)
+
+RETRY_DELAY_S = 0.3
+POLL_WAIT_S = 8.0
+
+
+class EntryLink:
+    """The stream to one entry and the grant requests sent on it."""
+
+    __slots__ = (
+        "name",
+        "stream",
+        "grant_requests",
+        "answered_at",
+        "known_usage",
+    )
+
+    def __init__(self, name, now):
+        self.name = name
+        self.stream = None
+        self.grant_requests = create_grant_requests()
+        self.answered_at = now
+        self.known_usage = usage_reports.EntryUsage()
+
+
+class EntryLinks:
+    """The entries that an agent knows, by address, and the streams to them."""
+
+    __slots__ = (
+        "_settings",
+        "_boot_id",
+        "_runs",
+        "_store",
+        "_handle_messages",
+        "_log",
+        "_links",
+        "_entries",
+        "_address_by_stream",
+    )
+
+    def __init__(self, settings, boot_id, runs, store, handle_messages):
+        self._settings = settings
+        self._boot_id = boot_id
+        self._runs = runs
+        self._store = store
+        self._handle_messages = handle_messages
+        self._log = get_logger()
+        callbacks = LinkCallbacks(
+            self._on_opened,
+            self._on_received,
+            self._on_closed,
+            lambda key, refused: None,
+        )
+        self._links = create_links(callbacks, redial_max_delay_s=REDIAL_LIMIT_S)
+        self._entries = {}  # address -> EntryLink
+        self._address_by_stream = {}  # stream -> address
+
+    @property
+    def links(self):
+        """Return the Links that carry the streams."""
+        return self._links
+
+    @property
+    def connected_count(self):
+        """Return the number of entries with an open stream."""
+        return sum(1 for link in self._entries.values() if link.stream is not None)
+
+    async def run(self):
+        """Follow the registrations of entries in the store and connect to them."""
+        newest_time = 0.0
+        records = self._store.follow(
+            ENTRIES_TOPIC, POLL_WAIT_S, RETRY_DELAY_S, "entries"
+        )
+        async for record in records:
+            try:
+                registration = decode_registration(record.value)
+            except MessageError as error:
+                self._log.warning("registration.unreadable", reason=str(error))
+                continue
+            newest_time = max(newest_time, registration.time)
+            if registration.time > newest_time - STALE_REGISTRATION_AGE_S:
+                self._connect_entry(record.key, registration.address)
+
+    def _connect_entry(self, name, address):
+        """Connect to an entry; drop the previous address of an entry that has moved."""
+        for known_address, link in list(self._entries.items()):
+            if link.name == name and known_address != address:
+                self._links.stop_dialing(known_address)
+                del self._entries[known_address]
+        if address not in self._entries:
+            self._entries[address] = EntryLink(name, steady_time())
+            self._links.dial(address, address, self._create_hello)
+
+    def forget_unreachable_entries(self, now):
+        """Stop reconnecting to entries that are gone, until they register again."""
+        for address, link in list(self._entries.items()):
+            if link.stream is None and now - link.answered_at > FORGET_ENTRY_AFTER_S:
+                self._log.info("entry.forgotten", entry=address)
+                self._links.stop_dialing(address)
+                del self._entries[address]
+
+    def send_worker_report(self):
+        """Report the state of the worker to all connected entries."""
+        message = wire.WorkerChanged(worker_runs.worker_report(self._runs))
+        for link in self._entries.values():
+            if link.stream is not None:
+                self._links.send(link.stream, message)
+        self._links.flush()
+
+    def _create_hello(self):
+        return wire.AgentHello(
+            PROTOCOL_VERSION,
+            self._settings.node,
+            self._boot_id,
+            self._settings.failure_domain,
+            worker_runs.worker_report(self._runs),
+        )
+
+    def _on_opened(self, stream, first_message, key):
+        link = self._entries.get(key)
+        if link is None:
+            self._links.abort(stream, "not followed")
+            return
+        link.stream = stream
+        link.known_usage.forget()
+        now = steady_time()
+        on_demand = isinstance(first_message, wire.Grant) and first_message.on_demand
+        link.grant_requests.stream_opened(on_demand, now)
+        link.answered_at = now
+        self._address_by_stream[stream] = key
+        self._log.info("entry.connected", entry=key)
+        self._on_received(stream, [first_message])
+        # The worker may have changed since the hello was sent.
+        report = worker_runs.worker_report(self._runs)
+        self._links.send(stream, wire.WorkerChanged(report))
+        self.request_grant(link, now)
+        self._links.flush()
+
+    def _on_closed(self, stream, reason):
+        link = self._entries.get(self._address_by_stream.pop(stream, None))
+        if link is not None and link.stream == stream:
+            link.stream = None
+        worker_leases.stream_closed(self._runs, stream)
+        self._log.info("entry.disconnected", reason=reason)
+
+    def _on_received(self, stream, messages):
+        link = self._entries.get(self._address_by_stream.get(stream))
+        if link is None or link.stream != stream:
+            return
+        self._handle_messages(link, messages)
+
+    def request_grant(self, link, now):
+        """Ask an entry for a grant."""
+        sequence = link.grant_requests.record_request(now)
+        self._links.send(link.stream, wire.GrantRequest(sequence))
+        self.attach_usage_reports((link.stream,))
+
+    def renew_grants(self, now):
+        """Request the grants that are due, and reconnect to silent entries."""
+        streams_in_use = worker_leases.streams_in_use(self._runs)
+        for address, link in self._entries.items():
+            if link.stream is None:
+                continue
+            if link.grant_requests.is_unanswered(now):
+                self._log.warning("entry.silent", entry=address)
+                stream, link.stream = link.stream, None
+                worker_leases.stream_closed(self._runs, stream)
+                self._links.abort(stream, "silent")
+                continue
+            if link.stream in streams_in_use:
+                link.grant_requests.entry_uses_worker(now)
+            if link.grant_requests.is_due(now):
+                self.request_grant(link, now)
+
+    def report_usage(self):
+        """Report significant changes of the capacity that other entries use."""
+        life = self._runs.life
+        open_links = {
+            link.stream: link
+            for link in self._entries.values()
+            if link.stream is not None
+        }
+        known_by_stream = {
+            stream: link.known_usage for stream, link in open_links.items()
+        }
+        usage = usage_reports.measure_usage(self._runs)
+        capacity = (life.cpu, life.memory, life.accelerators)
+        for stream, foreign_usage in usage_reports.choose_reports(
+            known_by_stream, usage, capacity
+        ):
+            self._report_usage(open_links[stream], foreign_usage)
+        self._links.flush()
+
+    def attach_usage_reports(self, streams):
+        """Report the usage to entries that are being sent other messages."""
+        usage = usage_reports.measure_usage(self._runs)
+        for stream in streams:
+            link = self._entries.get(self._address_by_stream.get(stream))
+            if link is None or link.stream != stream:
+                continue
+            foreign_usage = usage.foreign_to(stream)
+            if foreign_usage != link.known_usage.usage:
+                self._report_usage(link, foreign_usage)
+
+    def _report_usage(self, link, foreign_usage):
+        link.known_usage.record_report(foreign_usage, steady_time())
+        self._links.send(link.stream, wire.RoomReport(*foreign_usage))
+
+
+def create_entry_links(settings, boot_id, runs, store, handle_messages):
+    """Return the links of an agent that knows no entry yet.
+
+    ``handle_messages(link, messages)`` is called for the messages of each frame.
+    """
+    return EntryLinks(settings, boot_id, runs, store, handle_messages)
