Connect each agent to a bounded number of entries

Cause: connections, grants and usage reports grew with entries x agents: 5,600 pairs at 35 x 160, 24,150 at 35 x 690.

Change: an agent serves ten entries, chosen by a hash of both names, and one more for each of them that it cannot reach. It tells an entry that it leaves before it closes the link. Sites of up to ten entries stay as they were.

--- /dev/null
+++ b/tests/node/test_entry_links.py
@@ -0,0 +1,124 @@
+"""Links of an agent to the entries that it serves."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from turmericknot.node import entry_links
+from turmericknot.node.registration import Registration
+from turmericknot.scheduling import neighborhood, worker_runs
+from turmericknot.scheduling.worker_types import WorkerLife
+from turmericknot.wire import shard_messages as wire
+
+
+class RecordingLinks:
+    """Records what the agent dials, sends and closes."""
+
+    def __init__(self):
+        self.dialed = {}
+        self.sent = []
+
+    def dial(self, key, address, create_hello):
+        self.dialed[key] = create_hello()
+
+    def stop_dialing(self, key):
+        del self.dialed[key]
+
+    def send(self, stream, message):
+        self.sent.append((stream, message))
+
+    def flush(self):
+        pass
+
+    def abort(self, stream, reason):
+        pass
+
+
+@pytest.fixture
+def links(monkeypatch):
+    recording = RecordingLinks()
+    monkeypatch.setattr(entry_links, "create_links", lambda *a, **k: recording)
+    state = worker_runs.create_worker_runs(1, 1.1, 1.0, 0.0)
+    state.is_synced = True
+    state.life = WorkerLife("i", 1, "s", True, 4000, 1024, 0, [], 0.0, 0.0)
+    settings = SimpleNamespace(node="side-1", service="s", failure_domain="d")
+    created = entry_links.create_entry_links(
+        settings, "boot", state, None, lambda link, messages: None
+    )
+    return created, recording
+
+
+def register(links, numbers, at=1000.0, port=7720, **fields):
+    async def add():
+        for number in numbers:
+            address = f"10.0.0.{number}:{port}"
+            links._add_registration(
+                f"front-{number}", Registration(address, at, **fields)
+            )
+        await asyncio.sleep(2 * entry_links.REGISTRATIONS_SETTLE_S)
+
+    asyncio.run(add())
+
+
+def test_agent_connects_to_a_part_of_many_entries(links):
+    """Guards against 160 x 35 connections when everything starts at once."""
+    created, recording = links
+    register(created, range(35))
+    assert len(recording.dialed) == neighborhood.ENTRIES_PER_AGENT
+
+
+def test_agent_leaves_an_entry_before_it_closes_the_link(links):
+    """Guards against runs that are sent on a link while it closes."""
+    created, recording = links
+    register(created, range(10))
+    for stream, address in enumerate(recording.dialed):
+        created._on_opened(stream, wire.Grant(0, [], True), address)
+    recording.sent.clear()
+    register(created, range(10, 35))
+    now = entry_links.steady_time()
+    left = [
+        stream
+        for stream, message in recording.sent
+        if isinstance(message, wire.WorkerChanged) and not message.worker.usable
+    ]
+    assert left
+    count = len(recording.dialed)
+    created.update(now + 1.0)
+    assert len(recording.dialed) == count
+    created.update(now + entry_links.LEAVE_DELAY_S + 0.5)
+    assert len(recording.dialed) == count - len(left)
+
+
+def test_entry_that_lacks_agents_is_served_as_well(links):
+    created, recording = links
+    register(created, range(35))
+    chosen = set(recording.dialed)
+    register(created, range(35), 1001.0, lacking_services=["s"])
+    assert chosen < set(recording.dialed) and len(recording.dialed) == 35
+
+
+def test_reused_address_belongs_to_the_newest_registration(links):
+    """Guards against a removed entry whose address another one has taken over."""
+    created, recording = links
+    register(created, [1])
+    asyncio.run(_register_other(created))
+    assert list(created._registrations) == ["front-new"]
+    assert [link.name for link in created._entries.values()] == ["front-new"]
+    assert list(recording.dialed) == ["10.0.0.1:7720"]
+
+
+async def _register_other(links):
+    links._add_registration("front-new", Registration("10.0.0.1:7720", 1002.0))
+    await asyncio.sleep(2 * entry_links.REGISTRATIONS_SETTLE_S)
+
+
+def test_stale_registration_is_not_used(links):
+    """Guards against entries that were removed long before the agent started."""
+    created, recording = links
+    register(created, [1], at=1000.0)
+    register(created, [2], at=1000.0 + entry_links.STALE_REGISTRATION_AGE_S + 1)
+    created._choose_entries()
+    assert "10.0.0.2:7720" in recording.dialed
+    left = [link.name for link in created._entries.values() if link.leaving_since]
+    assert left == ["front-1"]
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -390,7 +390,7 @@
             worker_leases.check_grants(self._runs, now)
             if worker_runs.expire_recalled_worker(self._runs, now):
                 self._entries.send_worker_report()
-            self._entries.forget_unreachable_entries(now)
+            self._entries.update(now)
             if now >= next_progress_at:
                 worker_pace.report_progress(self._runs, now)
                 next_progress_at = now + worker_pace.PROGRESS_INTERVAL_S
--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -1,8 +1,17 @@
 """The links of an agent to the entries: discovery, grant requests, usage reports."""
 
+import asyncio
+
+import msgspec
+
 from turmericknot.core.exceptions import MessageError
 from turmericknot.platform.store import ENTRIES_TOPIC
-from turmericknot.scheduling import usage_reports, worker_leases, worker_runs
+from turmericknot.scheduling import (
+    neighborhood,
+    usage_reports,
+    worker_leases,
+    worker_runs,
+)
 from turmericknot.scheduling.grant_requests import create_grant_requests
 from turmericknot.utils.logging import get_logger
 from turmericknot.wire import shard_messages as wire
@@ -19,6 +28,14 @@
 
 RETRY_DELAY_S = 0.3
 POLL_WAIT_S = 8.0
+# Entries are chosen this long after a registration, since many start together, and
+# anyway at this interval.
+REGISTRATIONS_SETTLE_S = 0.05
+CHOOSE_INTERVAL_S = 1.0
+# An entry without a stream for this long counts as unreachable.
+UNREACHABLE_AFTER_S = 2.0
+# How long an entry may take to stop using an agent that leaves it.
+LEAVE_DELAY_S = 3.0
 
 
 class EntryLink:
@@ -30,15 +47,21 @@
         "grant_requests",
         "answered_at",
         "known_usage",
+        "leaving_since",
     )
 
     def __init__(self, name, now):
         self.name = name
+        self.leaving_since = None  # when the entry was no longer chosen
         self.stream = None
         self.grant_requests = create_grant_requests()
         self.answered_at = now
         self.known_usage = usage_reports.EntryUsage()
 
+    def is_unreachable(self, now):
+        """Return whether no stream to the entry has been open for some time."""
+        return self.stream is None and now - self.answered_at > UNREACHABLE_AFTER_S
+
 
 class EntryLinks:
     """The entries that an agent knows, by address, and the streams to them."""
@@ -53,6 +76,10 @@
         "_links",
         "_entries",
         "_address_by_stream",
+        "_registrations",
+        "_newest_time",
+        "_choose_timer",
+        "_next_choice_at",
     )
 
     def __init__(self, settings, boot_id, runs, store, handle_messages):
@@ -71,6 +98,10 @@
         self._links = create_links(callbacks, redial_max_delay_s=REDIAL_LIMIT_S)
         self._entries = {}  # address -> EntryLink
         self._address_by_stream = {}  # stream -> address
+        self._registrations = {}  # name of an entry -> Registration
+        self._newest_time = 0.0  # of all registrations
+        self._choose_timer = None
+        self._next_choice_at = 0.0
 
     @property
     def links(self):
@@ -84,7 +115,6 @@
 
     async def run(self):
         """Follow the registrations of entries in the store and connect to them."""
-        newest_time = 0.0
         records = self._store.follow(
             ENTRIES_TOPIC, POLL_WAIT_S, RETRY_DELAY_S, "entries"
         )
@@ -94,43 +124,118 @@
             except MessageError as error:
                 self._log.warning("registration.unreadable", reason=str(error))
                 continue
-            newest_time = max(newest_time, registration.time)
-            if registration.time > newest_time - STALE_REGISTRATION_AGE_S:
-                self._connect_entry(record.key, registration.address)
+            self._add_registration(record.key, registration)
+
+    def _add_registration(self, name, registration):
+        self._newest_time = max(self._newest_time, registration.time)
+        if self._is_stale(registration):
+            return
+        for other, known in list(self._registrations.items()):
+            if other != name and known.address == registration.address:
+                # The address of a removed entry belongs to this one now.
+                del self._registrations[other]
+        self._registrations[name] = registration
+        if self._choose_timer is None:
+            self._choose_timer = asyncio.get_running_loop().call_later(
+                REGISTRATIONS_SETTLE_S, self._choose_entries
+            )
+
+    def _is_stale(self, registration):
+        return registration.time <= self._newest_time - STALE_REGISTRATION_AGE_S
+
+    def update(self, now):
+        """Connect to the chosen entries and leave the others; called periodically."""
+        self._forget_unreachable_entries(now)
+        if now >= self._next_choice_at:
+            self._choose_entries()
+        self._close_left_links(now)
+
+    def _choose_entries(self):
+        now = steady_time()
+        self._next_choice_at = now + CHOOSE_INTERVAL_S
+        if self._choose_timer is not None:
+            self._choose_timer.cancel()
+            self._choose_timer = None
+        link_by_name = {link.name: link for link in self._entries.values()}
+        candidates = [
+            neighborhood.EntryCandidate(
+                name,
+                name in link_by_name and link_by_name[name].is_unreachable(now),
+                registration.lacking_services,
+            )
+            for name, registration in self._registrations.items()
+            if not self._is_stale(registration)
+        ]
+        life = self._runs.life
+        service = life.service if life is not None else self._settings.service
+        chosen = neighborhood.choose_entries(self._settings.node, service, candidates)
+        for name in chosen:
+            self._connect_entry(name, self._registrations[name].address)
+        for link in self._entries.values():
+            is_left = link.leaving_since is not None
+            if is_left != (link.name not in chosen):
+                link.leaving_since = None if is_left else now
+                self._send_worker_report(link)
+        self._links.flush()
 
     def _connect_entry(self, name, address):
         """Connect to an entry; drop the previous address of an entry that has moved."""
         for known_address, link in list(self._entries.items()):
             if link.name == name and known_address != address:
-                self._links.stop_dialing(known_address)
-                del self._entries[known_address]
-        if address not in self._entries:
+                self._drop(known_address)
+        if address in self._entries:
+            self._entries[address].name = name
+        else:
             self._entries[address] = EntryLink(name, steady_time())
-            self._links.dial(address, address, self._create_hello)
+            self._links.dial(address, address, lambda: self._create_hello(address))
+
+    def _close_left_links(self, now):
+        """Close the links to entries that were told some time ago that we leave."""
+        streams_in_use = worker_leases.streams_in_use(self._runs)
+        for address, link in list(self._entries.items()):
+            if link.leaving_since is None or now - link.leaving_since < LEAVE_DELAY_S:
+                continue
+            if link.stream not in streams_in_use:
+                self._log.info("entry.left", entry=address)
+                self._drop(address)
 
-    def forget_unreachable_entries(self, now):
+    def _drop(self, address):
+        self._links.stop_dialing(address)
+        del self._entries[address]
+
+    def _forget_unreachable_entries(self, now):
         """Stop reconnecting to entries that are gone, until they register again."""
         for address, link in list(self._entries.items()):
             if link.stream is None and now - link.answered_at > FORGET_ENTRY_AFTER_S:
                 self._log.info("entry.forgotten", entry=address)
-                self._links.stop_dialing(address)
-                del self._entries[address]
+                self._registrations.pop(link.name, None)
+                self._drop(address)
 
     def send_worker_report(self):
         """Report the state of the worker to all connected entries."""
-        message = wire.WorkerChanged(worker_runs.worker_report(self._runs))
         for link in self._entries.values():
-            if link.stream is not None:
-                self._links.send(link.stream, message)
+            self._send_worker_report(link)
         self._links.flush()
 
-    def _create_hello(self):
+    def _send_worker_report(self, link):
+        if link.stream is not None:
+            message = wire.WorkerChanged(self._worker_report(link))
+            self._links.send(link.stream, message)
+
+    def _worker_report(self, link):
+        """Return the report for an entry; an entry that is left gets no more use."""
+        report = worker_runs.worker_report(self._runs)
+        if report is not None and link.leaving_since is not None:
+            report = msgspec.structs.replace(report, usable=False)
+        return report
+
+    def _create_hello(self, address):
         return wire.AgentHello(
             PROTOCOL_VERSION,
             self._settings.node,
             self._boot_id,
             self._settings.failure_domain,
-            worker_runs.worker_report(self._runs),
+            self._worker_report(self._entries[address]),
         )
 
     def _on_opened(self, stream, first_message, key):
@@ -148,8 +253,7 @@
         self._log.info("entry.connected", entry=key)
         self._on_received(stream, [first_message])
         # The worker may have changed since the hello was sent.
-        report = worker_runs.worker_report(self._runs)
-        self._links.send(stream, wire.WorkerChanged(report))
+        self._send_worker_report(link)
         self.request_grant(link, now)
         self._links.flush()
 
--- a/turmericknot/node/registration.py
+++ b/turmericknot/node/registration.py
@@ -14,10 +14,14 @@
 
 
 class Registration(msgspec.Struct, array_like=True):
-    """The link address of an entry and the Unix time of its registration."""
+    """The link address of an entry and the Unix time of its registration.
+
+    ``lacking_services`` names the services for which it has too few agents.
+    """
 
     address: str
     time: float
+    lacking_services: list[str] = []
 
 
 _registration_decoder = msgspec.msgpack.Decoder(Registration)
--- /dev/null
+++ b/turmericknot/scheduling/neighborhood.py
@@ -0,0 +1,78 @@
+"""Which entries an agent connects to, and which services an entry lacks agents for.
+
+If every agent were connected to every entry, connections and control messages would
+grow with entries x agents. An agent therefore serves a few entries, chosen by a hash
+of both names: each entry gets about the same share of the agents, spread over all
+failure domains, and the loss of an entry moves only the agents that served it.
+
+An entry must still be able to run every kind of job. An entry that finds too few agents
+of a service says so in its registration, and all agents of that service connect to it.
+Services with few workers are thus served by all of them, and an entry that has lost a
+large part of its agents gets others.
+"""
+
+import hashlib
+
+from .workers import is_connected_and_usable
+
+# Entries that an agent serves, besides those that lack agents of its service.
+ENTRIES_PER_AGENT = 10
+# Below this number of agents of a service, an entry asks for more; once it has the
+# second number, it no longer does.
+MIN_AGENTS_PER_SERVICE = 16
+ENOUGH_AGENTS_PER_SERVICE = 24
+
+
+class EntryCandidate:
+    """An entry that an agent may connect to."""
+
+    __slots__ = ("name", "is_unreachable", "lacking_services")
+
+    def __init__(self, name, is_unreachable=False, lacking_services=()):
+        self.name = name
+        self.is_unreachable = is_unreachable
+        self.lacking_services = lacking_services
+
+
+def choose_entries(agent_name, service, candidates, limit=ENTRIES_PER_AGENT):
+    """Return the names of the entries to connect to.
+
+    An unreachable entry remains chosen, but the next one takes its place as well.
+    """
+    chosen = set()
+    reachable = 0
+    for candidate in sorted(candidates, key=lambda c: _rank(agent_name, c.name)):
+        if reachable < limit:
+            chosen.add(candidate.name)
+            reachable += not candidate.is_unreachable
+        elif service in candidate.lacking_services:
+            chosen.add(candidate.name)
+    return chosen
+
+
+def _rank(agent_name, entry_name):
+    key = f"{agent_name}|{entry_name}".encode()
+    return hashlib.blake2b(key, digest_size=8).digest()
+
+
+def find_lacking_services(owner, services, lacking_before):
+    """Return the names of the services for which the entry has too few agents.
+
+    ``services`` are those of the configuration; ``lacking_before`` is the last result.
+    """
+    counts = dict.fromkeys(services, 0)
+    for view in owner.agents.values():
+        if is_connected_and_usable(view) and view.worker.service in counts:
+            counts[view.worker.service] += 1
+    return tuple(
+        sorted(
+            service
+            for service, count in counts.items()
+            if count
+            < (
+                ENOUGH_AGENTS_PER_SERVICE
+                if service in lacking_before
+                else MIN_AGENTS_PER_SERVICE
+            )
+        )
+    )
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -83,15 +83,18 @@
         self.is_probing = False
 
 
+def is_connected_and_usable(agent):
+    """Return whether the agent is connected and has a worker that takes runs."""
+    return agent.is_connected and agent.worker is not None and agent.worker.usable
+
+
 def is_usable(agent, now):
     """Return whether the agent may get new runs."""
     max_request_age_s = (
         MAX_GRANT_REQUEST_AGE_S if agent.tasks else MAX_IDLE_GRANT_REQUEST_AGE_S
     )
     return (
-        agent.is_connected
-        and agent.worker is not None
-        and agent.worker.usable
+        is_connected_and_usable(agent)
         and now - agent.last_request_at < max_request_age_s
         and now >= max(agent.suspended_until, agent.refusal_backoff_until)
         and not (agent.is_probing and agent.tasks)
