Contain errors of single messages and calls to the worker

Cause: an unexpected error in one call to the worker ended the agent, and all runs on its worker lapsed with it. An error in the handler of one message closed the connection without a line in the log.

Change: a start that fails unexpectedly is settled by the next lease renewal, like one whose answer was lost; a stop is repeated by its owner. A message that cannot be handled is logged and closes its stream only; both sides reconcile on the next one.

The page of events now has to list those of the wire package as well.

--- /dev/null
+++ b/tests/node/test_agent_calls.py
@@ -0,0 +1,87 @@
+"""Calls of an agent to its worker that fail in unexpected ways."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from turmericknot.node.agent import AgentNode
+from turmericknot.node.clock import steady_time
+from turmericknot.scheduling import worker_leases, worker_starts
+from turmericknot.scheduling.worker_types import StartCall, WorkerLife
+from turmericknot.wire import shard_messages as wire
+
+SHARD, STREAM = 1 << 20, 7
+
+
+class FailingClient:
+    """A client of the worker whose calls raise an error that no caller expects."""
+
+    async def start(self, call, may_send):
+        raise RuntimeError("unexpected")
+
+    async def stop(self, call):
+        raise RuntimeError("unexpected")
+
+
+@pytest.fixture
+def run_with_agent():
+    """Run ``test(node)`` with an agent that has requested the start of one run."""
+
+    def run(test):
+        async def main():
+            store = SimpleNamespace(address="127.0.0.1:1", partitions=1)
+            bounds = SimpleNamespace(lease_ms=1000, stop_grace_s=6.0)
+            node = AgentNode(
+                SimpleNamespace(
+                    node="side-1",
+                    service="s",
+                    failure_domain="d",
+                    store=store,
+                    bounds=bounds,
+                    worker_address="127.0.0.1:1",
+                )
+            )
+            node._worker_client = FailingClient()
+            await test(node)
+
+        asyncio.run(main())
+
+    return run
+
+
+def request_start(runs):
+    """Request the start of a run under a valid grant; return its StartCall."""
+    now = steady_time()
+    runs.is_synced = True
+    runs.life = WorkerLife("i", 1, "s", True, 4000, 1024, 0, [], now, now)
+    grant = wire.Grant(1, [wire.ShardEpoch(SHARD, 1)])
+    worker_leases.grant_received(runs, STREAM, grant, now, now)
+    start = wire.RunStart("00000000000000a1", 0, 0, 1, 1000, 64, 0, "x")
+    message = wire.StartRuns(SHARD, 1, runs.life.key, [start])
+    worker_starts.start_runs(runs, STREAM, message, now)
+    return next(call for call in runs.pop_commands() if isinstance(call, StartCall))
+
+
+def test_unexpected_error_of_a_start_is_settled_by_a_renewal(run_with_agent):
+    """Guards against an agent that exits, and loses all runs, for one failed call."""
+
+    async def test(node):
+        call = request_start(node._runs)
+        fence = node._runs.fence
+        node._call_worker(call)
+        await asyncio.gather(*node._worker_calls)
+        assert not node._shutdown.is_set()
+        assert node._runs.runs[call.name].is_start_unanswered
+        assert node._runs.fence > fence
+
+    run_with_agent(test)
+
+
+def test_unexpected_error_of_a_stop_leaves_the_agent_running(run_with_agent):
+    async def test(node):
+        call = request_start(node._runs)
+        await node._stop_run(call)
+        assert not node._shutdown.is_set()
+
+    run_with_agent(test)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -57,7 +57,7 @@
 def test_every_log_event_is_on_the_page():
     """Guards against a log event that an on-call engineer cannot look up."""
     events = set()
-    for package in ("node", "platform", "scheduling", "aio"):
+    for package in ("node", "platform", "scheduling", "aio", "wire"):
         for source in (ROOT / "turmericknot" / package).glob("*.py"):
             events |= set(re.findall(r'"([a-z]+\.[a-z_]+)"', source.read_text()))
     # Names with this prefix are topics of the store.
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -215,6 +215,33 @@
             time.sleep(0.02)
 
 
+def test_message_that_cannot_be_handled_closes_its_stream_only(start, address):
+    """Guards against one message that takes down a process or its other streams."""
+    server, client, _, dialed = connect(start, address)
+    other = start()
+    other.links.dial("server", address, lambda: Heartbeat(5))
+    accepted_other, _, _ = server.next("opened")
+    server.links.send(accepted_other, Heartbeat(6))
+    server.links.flush()
+    other.next("opened")
+    callbacks = server.links._callbacks
+    record = callbacks.received
+
+    def fail_once(stream, messages):
+        callbacks.received = record
+        raise ValueError("cannot be handled")
+
+    callbacks.received = fail_once
+    client.links.send(dialed, Heartbeat(3))
+    client.links.flush()
+    assert server.next("closed")[1] == "handler failed"
+    client.next("closed")
+    server.links.send(accepted_other, Heartbeat(7))
+    server.links.flush()
+    assert receive(other, 1) == [Heartbeat(7)]
+    assert server.next("opened")[1] == Heartbeat(1)  # redialed
+
+
 def test_port_in_use_raises_address_in_use(start, address):
     start(address)
     with pytest.raises(AddressInUse):
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -229,6 +229,11 @@
             self._log.warning("start.unanswered", job=call.name.job, reason=str(error))
             worker_starts.start_unanswered(self._runs, call.name, steady_time())
             self._renew_now.set()
+        except Exception:
+            # The start may have been sent, so it is settled like one without an answer.
+            self._log.exception("start.failed", job=call.name.job)
+            worker_starts.start_unanswered(self._runs, call.name, steady_time())
+            self._renew_now.set()
         else:
             worker_starts.start_confirmed(self._runs, call.name, steady_time())
         self._execute_commands()
@@ -242,6 +247,8 @@
         except (WorkerRefused, WorkerUnavailable) as error:
             # The owner repeats the stop until the end of the run is reported.
             self._log.warning("stop.failed", job=call.name.job, reason=str(error))
+        except Exception:
+            self._log.exception("stop.failed", job=call.name.job)
 
     async def _restore_worker(self):
         """Use the worker that the previous process stored, until its next report."""
--- a/turmericknot/wire/streams.py
+++ b/turmericknot/wire/streams.py
@@ -6,6 +6,7 @@
 from grpclib.encoding.base import CodecBase
 
 from turmericknot.core.exceptions import WireError
+from turmericknot.utils.logging import get_logger
 
 from . import codec, direct
 from .traffic import count_message
@@ -203,4 +204,11 @@
     for message, size in messages_with_sizes:
         count_message(received_counters, type(message), size)
         messages.append(message)
-    received(stream, messages)
+    try:
+        received(stream, messages)
+    except Exception:
+        # One message that a handler cannot take must not harm other streams. The peers
+        # reconcile their states when the stream is opened again.
+        kinds = ",".join(type(message).__name__ for message in messages)
+        get_logger().exception("message.failed", kinds=kinds)
+        abort(stream, "handler failed")
