Let workers forget the ends of best-effort jobs at once

Cause: the worker answers each renewal at once while it lists an end, so the agent paused for up to 50 ms after each end until its owner had acknowledged it. Behind an entry that is cut off, every end of every owner was seen late, at the worst load too.

Change: only ends of durable jobs hold back the number up to which the worker may forget. The agent keeps the others itself until their owner has them. When the agent dies before that, the task runs again, as before: nothing read those ends again.

--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -50,7 +50,7 @@
 # Every concurrent start needs a connection of its own, with a handshake; a start takes
 # about a millisecond.
 MAX_CONCURRENT_STARTS = 8
-# Longest pause between renewals while ends wait for acknowledgement by their owners.
+# Longest pause between renewals while ends of durable jobs wait for their owners.
 ACKNOWLEDGEMENT_WAIT_S = 0.05
 RETRY_DELAY_S = 0.3
 # Each attempt reads all records of all shards. Often the end of the worker's lease,
@@ -318,7 +318,7 @@
             if flags_before != (self._runs.is_synced, self._runs.is_outdated):
                 self._entries.send_worker_report()
             self._execute_commands()
-            if self._runs.ends:
+            if self._runs.first_durable_end is not None:
                 await self._wait_until_ends_acknowledged()
 
     async def _load_inherited_shards(self):
@@ -375,7 +375,7 @@
                 worker_starts.stop_runs(runs, stream, message, now)
             case wire.NoteEnds():
                 worker_leases.ends_acknowledged(runs, message.life, message.numbers)
-                if not runs.ends:
+                if runs.first_durable_end is None:
                     self._ends_acknowledged.set()
 
     def _handle_grant(self, link, grant, now):
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -80,10 +80,28 @@
         self.recalled_until = 0.0  # how long a recalled worker may be used
         self.commands = []
 
+    @property
+    def first_durable_end(self):
+        """Return the lowest number of an unacknowledged end that must not be lost.
+
+        None if there is none. Ends of best-effort jobs are kept here until their owner
+        has them; the worker need not list them again, because a job whose end is lost
+        with this process may run again.
+        """
+        return min(
+            (
+                number
+                for number, (shard, _) in self.ends.items()
+                if shard < self.shard_count
+            ),
+            default=None,
+        )
+
     @property
     def last_seen(self):
         """Return the number up to which the worker may forget its ends."""
-        return min(self.ends) - 1 if self.ends else self.last_listed_end
+        first = self.first_durable_end
+        return self.last_listed_end if first is None else first - 1
 
     @property
     def needs_inherited_shards(self):
