Start no run under a lease or grant that its owner does not know of

The lease that a worker has for the runs of other owners is never shortened. A run whose own grant ended sooner outlasted it while the agent was paused, and its owner started the task elsewhere. 2. After a change of the owner of a shard, the new owner's runs started under what was left of the grant of the previous one, which the new owner does not count.

Change: a run starts only when the present owner itself has granted the shard and the worker's lease ends with that grant; else the agent requests a grant first. Leases are 0.8 s instead of 1 s, so that grants renewed every 0.25 s suffice without a request. A run that a new owner takes over is kept for the longest grant of the previous one.

Also in this change: ends of best-effort jobs are acknowledged with other messages or after 1 s, since the worker need not keep them, and the starts that a job gets at one moment share one line of the log.

--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -163,6 +163,20 @@
     assert not second.owner.shards[SHARD].is_recovering
 
 
+def test_adopted_run_is_kept_for_the_grant_of_the_previous_owner(owned_site):
+    """Guards against a second run when the agent dies right after a handover."""
+    start(owned_site, owned_site.entries["entry-0"])
+    for view in owned_site.entries["entry-1"].owner.agents.values():
+        view.granted_until = owned_site.now - 5.0  # has had no runs for some time
+    second = take_over(owned_site)
+    adopted = [view for view in second.owner.agents.values() if view.tasks]
+    assert adopted
+    runs.tick(second.owner, owned_site.now + 1.0)
+    assert all(view.tasks for view in adopted)
+    runs.tick(second.owner, owned_site.now + 1.3)
+    assert not any(view.tasks for view in adopted)
+
+
 def test_new_owner_receives_unacknowledged_ends(owned_site):
     """A task that ended under the previous owner must not start again."""
     first = owned_site.entries["entry-0"]
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -360,6 +360,54 @@
     assert worker_lists.next_lease_renewal(agent.state, 101.2).deadline_ms is None
 
 
+def test_no_run_under_a_lease_that_outlasts_its_grant(agent):
+    """A paused agent cannot stop the run when its owner gives it up.
+
+    The worker keeps the lease that it has for the runs of another owner.
+    """
+    other = 1 << 21
+    grant(agent, 100.5, shard=other)
+    request_starts(agent, 100.5, 0, shard=other)
+    agent.renew_lease(100.55)
+    lease_ends_at = agent.state.lease_until
+    assert lease_ends_at > 101.1 + worker_runs.LEASE_LAPSE_MARGIN_S
+    request_starts(agent, 100.6, 1)
+    assert len(agent.start_calls) == 1
+    assert worker_starts.needs_grant(agent.state, STREAM, 100.6)
+    grant(agent, 100.61)
+    worker_starts.start_queued_runs(agent.state, 100.61)
+    agent.execute_calls(100.61)
+    assert len(agent.start_calls) == 2
+
+
+def test_no_run_of_a_new_owner_under_the_grant_of_the_previous_one(agent):
+    """The new owner gives the run up by its own grants, of which there is none yet."""
+    announcement = wire.Grant(0, [wire.ShardEpoch(SHARD, 2)])
+    worker_leases.grant_received(agent.state, STREAM + 1, announcement, None, 100.1)
+    message = wire.StartRuns(
+        SHARD,
+        2,
+        agent.state.life.key,
+        [wire.RunStart("00000000000000a1", 0, 0, 1, 1000, 64, 0, "x")],
+    )
+    worker_starts.start_runs(agent.state, STREAM + 1, message, 100.1)
+    agent.execute_calls(100.1)
+    assert agent.start_calls == []
+    assert worker_starts.needs_grant(agent.state, STREAM + 1, 100.1)
+
+
+def test_grant_of_an_active_owner_outlasts_the_lease(agent):
+    """Guards against a grant request before every start at a busy worker."""
+    agent.renew_lease(100.0)
+    for step in range(8):
+        now = 100.0 + 0.25 * step
+        grant(agent, now)
+        request_starts(agent, now + 0.24, step % 2 + 2 * step)
+        agent.worker.end_run(next(iter(agent.worker.running)))
+        agent.renew_lease(now + 0.245)
+    assert len(agent.start_calls) == 8
+
+
 def test_runs_are_stopped_before_the_grant_ends(agent):
     """Otherwise the lease lapses, and with it the runs of other owners."""
     request_starts(agent, 100.0, 0)
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -34,6 +34,8 @@
     ``finished_job_retention_s``: how long a finished job remains visible.
     ``store_progress_after_s``: ends of an unfinished job's tasks are stored after this
     time.
+    ``defer_acknowledgements_s``: ends of best-effort jobs are acknowledged within this
+    time.
     ``worker_discovery_s``: how long after its start an entry may not know all workers,
     which report every 1.5 s.
     ``stop_retry_s``: interval at which a stop request is repeated.
@@ -46,6 +48,7 @@
     exclusive_after_confirmation_s: float = 1.4
     finished_job_retention_s: float = 120.0
     store_progress_after_s: float = 1.0
+    defer_acknowledgements_s: float = 1.0
     worker_discovery_s: float = 3.0
     stop_retry_s: float = 0.3
 
@@ -86,6 +89,8 @@
         "backlog",
         "run_times",
         "commands",
+        "_deferred_acknowledgements",
+        "_flush_acknowledgements_at",
         "ownership_confirmed_at",
         "pending_stops",
         "counts",
@@ -107,6 +112,9 @@
         self.backlog = admission.Backlog()
         self.run_times = create_run_times()
         self.commands = []
+        # (agent id, life of its worker) -> numbers of ends to acknowledge
+        self._deferred_acknowledgements = {}
+        self._flush_acknowledgements_at = 0.0
         self.ownership_confirmed_at = 0.0  # when the store last confirmed the ownership
         self.pending_stops = {}  # run name -> (agent id, shard, time of last request)
         self.counts = {}
@@ -124,10 +132,35 @@
         return cpu / 1000
 
     def pop_commands(self):
-        """Return the commands decided since the last call."""
+        """Return the commands decided since the last call.
+
+        Deferred acknowledgements accompany other messages to their agents.
+        """
         commands, self.commands = self.commands, []
+        if self._deferred_acknowledgements and commands:
+            addressed = {c.agent for c in commands if isinstance(c, SendMessage)}
+            commands.extend(self._pop_acknowledgements(addressed))
         return commands
 
+    def _pop_acknowledgements(self, agents):
+        deferred = self._deferred_acknowledgements
+        return [
+            SendMessage(key[0], NoteEnds(key[1], deferred.pop(key)))
+            for key in [key for key in deferred if key[0] in agents]
+        ]
+
+    def defer_acknowledgement(self, agent, life, number, flush_at):
+        """Acknowledge an end with the next message to its agent, or at ``flush_at``."""
+        if not self._deferred_acknowledgements:
+            self._flush_acknowledgements_at = flush_at
+        numbers = self._deferred_acknowledgements.setdefault((agent, life), [])
+        numbers.append(number)
+
+    def flush_acknowledgements(self, now):
+        """Add the commands that send all deferred acknowledgements, if it is time."""
+        if self._deferred_acknowledgements and now >= self._flush_acknowledgements_at:
+            self.commands.extend(self._pop_acknowledgements(set(self.agents)))
+
     def count(self, name, amount=1):
         """Increase a counter of the metrics."""
         self.counts[name] = self.counts.get(name, 0) + amount
@@ -169,6 +202,22 @@
         owner.commands.append(SendMessage(agent_id, NoteEnds(life, numbers)))
 
 
+def defer_acknowledgement(owner, end, now):
+    """Acknowledge the end of a run of a best-effort job some time later.
+
+    The agent keeps such an end until then, but its worker does not have to.
+    """
+    agent_id, life, number = end
+    if number:
+        flush_at = now + owner.times.defer_acknowledgements_s
+        owner.defer_acknowledgement(agent_id, life, number, flush_at)
+
+
+def flush_deferred_acknowledgements(owner, now):
+    """Send the acknowledgements that no other message has taken along in time."""
+    owner.flush_acknowledgements(now)
+
+
 def acknowledge_job_ends(owner, job):
     """Let the agents forget the ends of a job that are now stored."""
     ends, job.unacknowledged_ends = job.unacknowledged_ends, []
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -9,6 +9,7 @@
 from .owner import (
     RUN_NUMBERS_PER_EPOCH,
     count_failure,
+    defer_acknowledgement,
     granted_shards,
     log,
     release_capacity,
@@ -158,6 +159,8 @@
     task.started_at = now
     task.job.has_started = True
     workers.reserve_capacity(view, task)
+    # The previous owner may have granted the run until then.
+    view.granted_until = max(view.granted_until, now + owner.times.grant_s)
     return True
 
 
@@ -182,11 +185,14 @@
                 _release_ended_run(owner, task, name)
                 acknowledge_cancel(owner, task.job)
                 besteffort.remove_finished_job(owner, task.job, now)
-            send_acknowledgements(owner, [acknowledgement])
+            if shard.is_durable:
+                send_acknowledgements(owner, [acknowledgement])
+            else:
+                defer_acknowledgement(owner, acknowledgement, now)
             continue
         job = task.job
         if not shard.is_durable:
-            send_acknowledgements(owner, [acknowledgement])
+            defer_acknowledgement(owner, acknowledgement, now)
         elif end.number:
             if not job.unacknowledged_ends:
                 job.unacknowledged_since = now
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -10,6 +10,7 @@
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
 from .owner import (
     RUN_NUMBERS_PER_EPOCH,
+    flush_deferred_acknowledgements,
     log,
     record_progress,
     release_capacity,
@@ -88,6 +89,7 @@
                 for agent in usable_agents
                 if _ensure_agent_recorded(owner, shard, agent)
             ]
+        started_tasks = []
         for task in list(owner.waiting.tasks(job)):
             agent = workers.choose_agent_from_sample(
                 candidates[shard.number], task, now, owner.rng
@@ -96,6 +98,22 @@
                 skipped += 1
                 break
             _start_task(owner, shard, agent, task, now, starts)
+            started_tasks.append(task)
+        if started_tasks:
+            _log_started_tasks(owner, job, started_tasks, now)
+
+
+def _log_started_tasks(owner, job, tasks, now):
+    """Log the runs that a job gets in one pass; ``runs`` lists task:run@agent."""
+    log(
+        owner,
+        "tasks.started",
+        job=job.id,
+        runs=",".join(
+            f"{task.step}.{task.index}:{task.run}@{task.agent}" for task in tasks
+        ),
+        waited=round(now - job.submitted_at, 3),
+    )
 
 
 def _ensure_agent_recorded(owner, shard, agent):
@@ -153,15 +171,6 @@
     )
     starts.setdefault((agent.id, shard.number), []).append(run)
     owner.count("started")
-    log(
-        owner,
-        "task.started",
-        job=job.id,
-        task=f"{task.step}.{task.index}",
-        run=task.run,
-        agent=agent.id,
-        waited=round(now - job.submitted_at, 3),
-    )
 
 
 def run_ended_without_result(owner, view, task, how, now, reason=""):
@@ -246,6 +255,7 @@
         _drop_expired_jobs(owner, shard, now)
     _repeat_stops(owner, now)
     demote_late_jobs(owner, now)
+    flush_deferred_acknowledgements(owner, now)
     schedule_tasks(owner, now)
 
 
--- a/turmericknot/scheduling/worker_leases.py
+++ b/turmericknot/scheduling/worker_leases.py
@@ -39,6 +39,7 @@
         elif shard.epoch > shard_grant.epoch or shard_grant.stream != stream:
             if shard.epoch > shard_grant.epoch:
                 _drop_queued_runs(state, shard.shard)
+                shard_grant.is_confirmed = False
             shard_grant.epoch = shard.epoch
             shard_grant.stream = stream
             _report_runs_to_owner(state, shard.shard, shard_grant)
@@ -46,6 +47,7 @@
             shard_grant.expires_at = max(
                 shard_grant.expires_at, sent_at + state.grant_s
             )
+            shard_grant.is_confirmed = True
             shard_grant.is_lapsed = False
 
 
@@ -159,7 +161,7 @@
 
 def lease_deadline_ms(state, now):
     """Return the deadline for the worker's lease, or None to leave it unchanged."""
-    shortest = now + state.max_lease_s
+    shortest = now + state.lease_s
     is_needed = False
     for number in _shards_needing_lease(state):
         shard_grant = state.shards.get(number)
@@ -191,10 +193,39 @@
     return shards
 
 
+def has_valid_grant(state, shard, now):
+    """Return whether the owner of the shard has granted it for some time to come."""
+    shard_grant = state.shards.get(shard)
+    return (
+        shard_grant is not None and now < shard_grant.expires_at - GRANT_STOP_MARGIN_S
+    )
+
+
+def may_start_runs(state, shard, now):
+    """Return whether runs of the shard may start now.
+
+    The lease that the worker already has, for the runs of other owners, is never
+    shortened. It must end with the grant, or a run could outlast the time after which
+    its owner starts the task elsewhere, while this agent is paused and cannot stop it.
+    """
+    if not has_valid_grant(state, shard, now):
+        return False
+    shard_grant = state.shards[shard]
+    return (
+        shard_grant.is_confirmed
+        and state.lease_until <= shard_grant.expires_at + LEASE_LAPSE_MARGIN_S
+    )
+
+
 def streams_in_use(state):
-    """Return the streams to the entries that have runs or unacknowledged ends here."""
+    """Return the streams to the entries that need a grant.
+
+    They have runs here, or unacknowledged ends of durable jobs.
+    """
     shards = {run.shard for run in state.runs.values()}
-    shards.update(shard for shard, _ in state.ends.values())
+    shards.update(
+        shard for shard, _ in state.ends.values() if shard < state.shard_count
+    )
     return {
         state.shards[shard].stream
         for shard in shards
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -13,6 +13,9 @@
 # How long an agent acts on a grant. The platform's clients submit a job again 1.3 s
 # after they lost its entry; all of its runs must have ended by then.
 GRANT_S = 1.1
+# Longest lease that is asked for. The grants of active owners, renewed every 0.25 s,
+# outlast a lease of this length, which their runs need to start.
+LEASE_S = 0.8
 # A lease on the worker's clock may last 2% longer in real time.
 WORKER_CLOCK_ERROR_FACTOR = 1.02
 # Time after the end of a lease until it is treated as lapsed.
@@ -30,7 +33,7 @@
     __slots__ = (
         "shard_count",
         "grant_s",
-        "max_lease_s",
+        "lease_s",
         "life",
         "fence",
         "fence_step_ms",
@@ -54,7 +57,7 @@
     def __init__(self, shard_count, grant_s, max_lease_s, now):
         self.shard_count = shard_count
         self.grant_s = grant_s
-        self.max_lease_s = max_lease_s
+        self.lease_s = min(LEASE_S, max_lease_s)
         self.life = None  # WorkerLife of the current incarnation of the worker
         self.fence = 0
         self.fence_step_ms = FENCE_STEP_MS
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -5,7 +5,7 @@
 from turmericknot.wire.shard_messages import EndedRun, RefusedRun, RunName, RunsRefused
 
 from .jobs import RunEnd
-from .worker_leases import GRANT_STOP_MARGIN_S, lease_deadline_ms
+from .worker_leases import has_valid_grant, lease_deadline_ms, may_start_runs
 from .worker_runs import raise_fence, report_end, send, stop_run
 from .worker_types import Run, SendToOwner, StartCall
 
@@ -60,7 +60,7 @@
     queued.sort(key=lambda run: (run.pending_start.priority, run.due_at))
     waiting_priority = math.inf  # of the most urgent run without capacity
     for run in queued:
-        if not has_valid_grant(state, run.shard, now):
+        if not may_start_runs(state, run.shard, now):
             if now - run.queued_at > GRANT_WAIT_S:
                 start_refused(state, run.name, "no_grant")
             run.has_waited_for_grant = True
@@ -80,19 +80,11 @@
             waiting_priority = min(waiting_priority, run.pending_start.priority)
 
 
-def has_valid_grant(state, shard, now):
-    """Return whether runs of the shard may start now."""
-    shard_grant = state.shards.get(shard)
-    return (
-        shard_grant is not None and now < shard_grant.expires_at - GRANT_STOP_MARGIN_S
-    )
-
-
 def needs_grant(state, stream, now):
     """Return whether a queued run of the entry on this stream waits for a grant."""
     return any(
         run.pending_start is not None
-        and not has_valid_grant(state, run.shard, now)
+        and not may_start_runs(state, run.shard, now)
         and run.shard in state.shards
         and state.shards[run.shard].stream == stream
         for run in state.runs.values()
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -41,6 +41,9 @@
     epoch: int
     stream: object
     expires_at: float = 0.0
+    # Whether the present owner has granted the shard itself. Until then, runs that it
+    # takes over keep the grant of the previous owner, but none starts.
+    is_confirmed: bool = False
     is_lapsed: bool = False  # the worker's lease ended after the grant
 
 
