--- a/tests/scheduling/fuzz/knockouts.py
+++ b/tests/scheduling/fuzz/knockouts.py
@@ -9,6 +9,7 @@
     ownership,
     reports,
     runs,
+    worker_leases,
     worker_lists,
     worker_runs,
     worker_starts,
@@ -111,6 +112,35 @@
     patch(worker_runs, "create_worker_runs", create_synced)
 
 
+def start_under_any_lease(patch):
+    """A run starts although the worker has a lease that outlasts its grant."""
+
+    def may_start_runs(state, shard, now):
+        return (
+            worker_leases.has_valid_grant(state, shard, now)
+            and state.shards[shard].is_confirmed
+        )
+
+    patch(worker_starts, "may_start_runs", may_start_runs)
+
+
+def start_under_the_previous_grant(patch):
+    """Runs of a new owner start under the grant of the previous one."""
+
+    def may_start_runs(state, shard, now):
+        return worker_leases.has_valid_grant(state, shard, now) and (
+            state.lease_until
+            <= state.shards[shard].expires_at + worker_leases.LEASE_LAPSE_MARGIN_S
+        )
+
+    patch(worker_starts, "may_start_runs", may_start_runs)
+
+
+def give_up_queued_runs_silently(patch):
+    """A run that waits for a grant is given up without a stop that precedes it."""
+    patch(runs, "send_stop", lambda *arguments: None)
+
+
 KNOCKOUTS = {
     function.__name__: function
     for function in (
@@ -123,5 +153,8 @@
         accept_before_stored,
         cancel_before_stored,
         report_worker_before_sync,
+        start_under_any_lease,
+        start_under_the_previous_grant,
+        give_up_queued_runs_silently,
     )
 }
--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -22,6 +22,9 @@
     "accept_before_stored": 2,
     "cancel_before_stored": 65,
     "report_worker_before_sync": 16,
+    "start_under_any_lease": 1005,
+    "start_under_the_previous_grant": 97,
+    "give_up_queued_runs_silently": 10,
 }
 # Seeds of long walks that failed before a fault was fixed, and that fault.
 FAILED_WALKS = {
