Forget the run numbers of ended jobs without a copy of all of them

Cause: ten times a second, an entry copied the run numbers of all jobs that ended within 30 s, 7% of its processor time in a profile of 20 jobs a second.

Change: the numbers are kept in the order of their jobs' ends, and only those that are due are looked at.

--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -93,10 +93,13 @@
 
 def forget_run_numbers(shard, now):
     """Forget the run numbers of jobs that ended long ago."""
-    for job_id, (_, ended_at) in list(shard.last_run_numbers.items()):
+    run_numbers = shard.last_run_numbers
+    while run_numbers:
+        # The first entry is that of the job that ended first.
+        _, ended_at = run_numbers[next(iter(run_numbers))]
         if now - ended_at < RUN_NUMBER_RETENTION_S:
-            return  # the entries are in the order in which the jobs ended
-        del shard.last_run_numbers[job_id]
+            return
+        run_numbers.popitem(last=False)
 
 
 def _set_next_submission(owner, job, next_submission):
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -1,5 +1,6 @@
 """State of an entry as the owner of shards, and helpers that issue its commands."""
 
+from collections import OrderedDict
 from dataclasses import dataclass, field
 from random import Random
 
@@ -69,7 +70,7 @@
     is_closing: bool = False  # being handed over: nothing new starts
     is_durable: bool = True  # holds durable jobs; False: best-effort jobs
     # Ended best-effort jobs: id -> (highest run number of a task, time of the end).
-    last_run_numbers: dict = field(default_factory=dict)
+    last_run_numbers: OrderedDict = field(default_factory=OrderedDict)
 
     @property
     def is_recovering(self):
