Take test ports from below the ephemeral range everywhere

A stand-in of a worker had been given the port that the test had found free for the readiness probe of an entry, and answered the probe. The same race was open for the fixtures of tests/entry.

Change: all fixtures use free_addresses of tests/federation.py, whose ports no outgoing connection and no listener without a fixed port can take.

--- a/tests/agent/test_connection.py
+++ b/tests/agent/test_connection.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.entry.conftest import free_addresses
+from tests.federation import free_addresses
 from turmericknot.agent.connection import create_slot_client
 from turmericknot.agent.runners import encode_output
 from turmericknot.clients.target_client import RunRequest
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -1,6 +1,5 @@
 """Fixtures that run entries and agents as processes on free loopback ports."""
 
-import socket
 import subprocess
 import sys
 import time
@@ -11,6 +10,7 @@
 import tomli_w
 import urllib3
 
+from tests.federation import free_addresses
 from tests.standins.processes import running_log_service, running_target
 from turmericknot.clients.log_client import create_log_client
 from turmericknot.configtree.records import CONFIG_STREAM, Change, encode_record
@@ -20,15 +20,6 @@
 TEAMS = {"carts": {"allowance": 80}, "binders": {"allowance": 80}}
 
 
-def free_addresses(count):
-    """Return loopback addresses whose ports were free at the time of the call."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return addresses
-
-
 class RoleProcess:
     """Process of one entry or agent."""
 
--- a/tests/entry/test_api.py
+++ b/tests/entry/test_api.py
@@ -8,7 +8,8 @@
 import pytest
 import urllib3
 
-from tests.entry.conftest import free_addresses, job_body
+from tests.entry.conftest import job_body
+from tests.federation import free_addresses
 from turmericknot.conf.schema import EntrySettings
 from turmericknot.core.kernel import Kernel
 from turmericknot.dispatch import events
--- a/tests/node/platform_site.py
+++ b/tests/node/platform_site.py
@@ -7,7 +7,6 @@
 import contextlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -15,6 +14,7 @@
 import msgspec
 import tomli_w
 
+from tests.federation import free_addresses, parse_address
 from tests.standins.leased_worker import LeasedWorker
 from tests.standins.store import StoreStandin
 from turmericknot.aio.client import create_http_client
@@ -185,12 +185,15 @@
 
 
 def _process_settings(site, name, listeners):
+    link_address, metrics_address, *listen_addresses = free_addresses(
+        2 + len(listeners)
+    )
     settings = {
         "node": name,
         "address": "127.0.0.1",
         "failure_domain": "z",
-        "link_port": _free_port(),
-        "metrics_port": _free_port(),
+        "link_port": parse_address(link_address)[1],
+        "metrics_port": parse_address(metrics_address)[1],
         "heartbeat_ms": 300,
         "store": {
             "address": site.store.address,
@@ -203,12 +206,6 @@
             "keep_s": 120.0,
         },
     }
-    for listener in listeners:
-        settings[f"{listener}_address"] = f"127.0.0.1:{_free_port()}"
+    for listener, address in zip(listeners, listen_addresses, strict=True):
+        settings[f"{listener}_address"] = address
     return settings
-
-
-def _free_port():
-    with socket.socket() as listening_socket:
-        listening_socket.bind(("127.0.0.1", 0))
-        return listening_socket.getsockname()[1]
