Read renewed registrations in batches

Each of 35 entries renews its registration at a time of its own, twice a minute, and each renewal ended a poll of each of 160 agents.

Change: six seconds after its start, an agent reads registrations once a second at most. The new test makes 20 records in 0.6 s cost six calls at most.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -129,3 +129,32 @@
     page = store_module._decode_page(body + b"\0\0", 5)
     assert page.next_offset == 9
     assert [r.key for r in page.records] == ["abc", "k"]
+
+
+def test_later_records_are_followed_in_batches(run_with_store):
+    """Guards against polls that grow with entries x agents.
+
+    Each of 35 entries renews its registration at a time of its own, and each of 160
+    agents follows all of them.
+    """
+
+    async def test(store, standin):
+        received = []
+
+        async def follow():
+            async for record in store.follow("keyed.op", 1.0, 0.1, "test", 0.2, 0.3):
+                received.append(record.key)
+
+        follower = asyncio.create_task(follow())
+        await asyncio.sleep(0.3)
+        calls_before = len(standin.received_calls)
+        for number in range(20):
+            standin.put("keyed.op", f"e{number}", b"v")
+            await asyncio.sleep(0.03)
+        async with asyncio.timeout(3):
+            while len(received) < 20:
+                await asyncio.sleep(0.02)
+        follower.cancel()
+        assert len(standin.received_calls) - calls_before <= 6
+
+    run_with_store(test)
--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -28,6 +28,10 @@
 
 RETRY_DELAY_S = 0.3
 POLL_WAIT_S = 8.0
+# At first, registrations are read as they are written, since everything may be starting
+# together. Later they are read in batches: each entry renews its own twice a minute.
+EAGER_DISCOVERY_S = 6.0
+DISCOVERY_PAUSE_S = 1.0
 # Entries are chosen this long after a registration, since many start together, and
 # anyway at this interval.
 REGISTRATIONS_SETTLE_S = 0.05
@@ -116,7 +120,12 @@
     async def run(self):
         """Follow the registrations of entries in the store and connect to them."""
         records = self._store.follow(
-            ENTRIES_TOPIC, POLL_WAIT_S, RETRY_DELAY_S, "entries"
+            ENTRIES_TOPIC,
+            POLL_WAIT_S,
+            RETRY_DELAY_S,
+            "entries",
+            EAGER_DISCOVERY_S,
+            DISCOVERY_PAUSE_S,
         )
         async for record in records:
             try:
--- a/turmericknot/platform/store.py
+++ b/turmericknot/platform/store.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import math
+import time
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -195,15 +197,21 @@
         _raise_unless_ok(reply, "read")
         return _decode_page(reply.body, offset)
 
-    async def follow(self, topic, wait_s, retry_delay_s, purpose):
+    async def follow(
+        self, topic, wait_s, retry_delay_s, purpose, eager_s=math.inf, pause_s=0.0
+    ):
         """Yield the KeyedRecords of a topic, newest of each key first; never ends.
 
         A poll lasts ``wait_s`` at most, so that a dead connection is noticed.
-        ``purpose`` names the topic in log lines.
+        ``purpose`` names the topic in log lines. After the first ``eager_s``, polls are
+        ``pause_s`` apart, so that one poll returns many records.
         """
         offset = None
         is_reachable = True
+        eager_until = time.monotonic() + eager_s
         while True:
+            if offset is not None and time.monotonic() > eager_until:
+                await asyncio.sleep(pause_s)
             try:
                 if offset is None:
                     offset, records = await self.read_newest(topic, 0)
