Settle lost answers of the worker at once

A tenth of the calls to workers got no answer. A lost answer to a renewal hid the ends of all runs for 0.65 s and more, so that agents saw ends half of the time at most; a lost answer to a start blocked its capacity for 0.4 s and until the renewal that was waiting came back.

Change: a renewal is repeated as soon as its answer is 0.15 s late, a start counts as unanswered after 0.2 s, and a renewal that does not wait then settles it beside the one that does. Lists that another answer has overtaken are ignored.

--- a/tests/node/test_agent_calls.py
+++ b/tests/node/test_agent_calls.py
@@ -5,10 +5,15 @@
 
 import pytest
 
+from turmericknot.core.exceptions import WorkerUnavailable
 from turmericknot.node.agent import AgentNode
 from turmericknot.node.clock import steady_time
 from turmericknot.scheduling import worker_leases, worker_starts
-from turmericknot.scheduling.worker_types import StartCall, WorkerLife
+from turmericknot.scheduling.worker_types import (
+    LeaseRenewalResult,
+    StartCall,
+    WorkerLife,
+)
 from turmericknot.wire import shard_messages as wire
 
 SHARD, STREAM = 1 << 20, 7
@@ -85,3 +90,65 @@
         assert not node._shutdown.is_set()
 
     run_with_agent(test)
+
+
+class SilentClient(FailingClient):
+    """A client whose first renewal waits for an end; the next ones are answered."""
+
+    def __init__(self):
+        self.waits = []
+
+    async def renew_lease(self, call, wait_s):
+        self.waits.append(wait_s)
+        if wait_s:
+            await asyncio.sleep(10)
+        return LeaseRenewalResult(int(call.life.clock * 1000) + 1, call.life.born)
+
+
+def test_lost_answer_is_settled_while_a_renewal_waits(run_with_agent):
+    """Replays late orders at the peak: a tenth of the answers to starts are lost.
+
+    Each run whose start has no answer blocks its capacity until a renewal that was
+    sent later shows whether it runs.
+    """
+
+    async def test(node):
+        call = request_start(node._runs)
+        client = node._worker_client = SilentClient()
+        renewal = asyncio.create_task(node._renew_lease_once(0.25))
+        await asyncio.sleep(0.01)
+        worker_starts.start_unanswered(node._runs, call.name, steady_time())
+        node._renew_now.set()
+        await asyncio.sleep(0.02)
+        assert client.waits == [0.25, 0.0]
+        assert call.name not in node._runs.runs
+        renewal.cancel()
+
+    run_with_agent(test)
+
+
+class LosingClient(FailingClient):
+    """A client to which the answer of the first renewal is lost."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def renew_lease(self, call, wait_s):
+        self.calls += 1
+        if self.calls == 1:
+            raise WorkerUnavailable("no answer")
+        await asyncio.sleep(10)
+
+
+def test_renewal_is_repeated_at_once_when_its_answer_is_lost(run_with_agent):
+    """Until the next answer, no end of a run is seen and no lease is extended."""
+
+    async def test(node):
+        request_start(node._runs)
+        client = node._worker_client = LosingClient()
+        loop = asyncio.create_task(node._renew_lease())
+        await asyncio.sleep(0.02)
+        assert client.calls == 2
+        loop.cancel()
+
+    run_with_agent(test)
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -710,3 +710,36 @@
         grant(agent, 100.0 + step * 0.5)
         renew_lease_with_percent(agent, 100.0 + step * 0.5, step)
     assert agent.worker.running
+
+
+def test_overtaken_lists_are_ignored(agent):
+    """The answers of two overlapping renewals may arrive in either order.
+
+    A run whose end was handled must not be taken for one of an earlier agent process.
+    """
+    request_starts(agent, 100.0, 0)
+    (name,) = agent.worker.running
+    waiting = worker_lists.next_lease_renewal(agent.state, 100.1)
+    second = worker_lists.next_lease_renewal(agent.state, 100.2)
+    ended = worker_types.LeaseRenewalResult(
+        100_250, 1, [], [ListedEnd(1, name, RunEnd.DONE)]
+    )
+    worker_lists.lease_renewal_answered(agent.state, waiting, ended, 100.25)
+    older = worker_types.LeaseRenewalResult(
+        100_200, 1, [worker_types.ListedRun(name, 50)], []
+    )
+    worker_lists.lease_renewal_answered(agent.state, second, older, 100.26)
+    agent.execute_calls(100.26)
+    assert agent.state.runs == {} and agent.stop_calls == []
+
+
+def test_lists_after_a_restart_of_the_worker_clock_are_used(agent):
+    """Guards against an agent that ignores its worker once the clock starts again."""
+    agent.renew_lease(100.1)
+    name = wire.RunName("00000000000000a9", 0, 0, 1)
+    call = worker_lists.next_lease_renewal(agent.state, 100.2)
+    result = worker_types.LeaseRenewalResult(
+        10, 1, [worker_types.ListedRun(name, 50)], []
+    )
+    worker_lists.lease_renewal_answered(agent.state, call, result, 100.25)
+    assert name in agent.state.runs
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -282,45 +282,64 @@
     async def _renew_lease(self):
         """Renew the worker's lease and collect the ends of runs."""
         while True:
-            now = steady_time()
-            call = worker_lists.next_lease_renewal(self._runs, now)
-            self._execute_commands()
-            if call is None:
-                await _wait_for_event(self._renew_now, RENEWAL_RETRY_DELAY_S)
-                self._renew_now.clear()
-                continue
-            wait_s = 0.0 if self._renew_now.is_set() else RENEWAL_WAIT_S
-            if not self._runs.is_synced:
+            wait_s = RENEWAL_WAIT_S if self._runs.is_synced else 0.0
+            if self._renew_now.is_set():
                 wait_s = 0.0
             self._renew_now.clear()
-            try:
-                result = await self._worker_client.renew_lease(call, wait_s)
-            except WorkerRefused as error:
-                self._log.warning("hold.refused", reason=error.reason)
-                if error.reason == "fence":
-                    worker_runs.fence_refused(self._runs, steady_time())
-                await asyncio.sleep(RENEWAL_RETRY_DELAY_S)
-                continue
-            except WorkerUnavailable as error:
-                self._log.warning("hold.unanswered", reason=str(error))
-                await asyncio.sleep(RENEWAL_RETRY_DELAY_S)
-                continue
-            flags_before = self._runs.is_synced, self._runs.is_outdated
-            worker_lists.lease_renewal_answered(self._runs, call, result, steady_time())
-            if (
-                self._runs.needs_inherited_shards
-                and self._inherited_shards_task is None
-            ):
-                loading = self._load_inherited_shards()
-                self._inherited_shards_task = start_background_task(
-                    loading, "former shards", self.on_task_failure
-                )
-            if flags_before != (self._runs.is_synced, self._runs.is_outdated):
-                self._entries.send_worker_report()
-            self._execute_commands()
-            if self._runs.first_durable_end is not None:
+            delay_s = await self._renew_lease_once(wait_s)
+            if delay_s:
+                await _wait_for_event(self._renew_now, delay_s)
+            elif self._runs.first_durable_end is not None:
                 await self._wait_until_ends_acknowledged()
 
+    async def _renew_lease_once(self, wait_s):
+        """Make one renewal; return the delay until the next one in seconds.
+
+        A renewal that waits for the end of a run is joined by a second one, which does
+        not wait, when the answer to a start is lost meanwhile.
+        """
+        renewal = asyncio.ensure_future(self._send_renewal(wait_s))
+        requested = asyncio.ensure_future(self._renew_now.wait())
+        try:
+            await asyncio.wait(
+                (renewal, requested), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not renewal.done():
+                self._renew_now.clear()
+                await self._send_renewal(0.0)
+            return await renewal
+        finally:
+            requested.cancel()
+            renewal.cancel()
+
+    async def _send_renewal(self, wait_s):
+        now = steady_time()
+        call = worker_lists.next_lease_renewal(self._runs, now)
+        self._execute_commands()
+        if call is None:
+            return RENEWAL_RETRY_DELAY_S
+        try:
+            result = await self._worker_client.renew_lease(call, wait_s)
+        except WorkerRefused as error:
+            self._log.warning("hold.refused", reason=error.reason)
+            if error.reason == "fence":
+                worker_runs.fence_refused(self._runs, steady_time())
+            return RENEWAL_RETRY_DELAY_S
+        except WorkerUnavailable as error:
+            # The ends of runs are not seen until the next answer.
+            self._log.warning("hold.unanswered", reason=str(error))
+            return 0.0
+        flags_before = self._runs.is_synced, self._runs.is_outdated
+        worker_lists.lease_renewal_answered(self._runs, call, result, steady_time())
+        if self._runs.needs_inherited_shards and self._inherited_shards_task is None:
+            self._inherited_shards_task = start_background_task(
+                self._load_inherited_shards(), "former shards", self.on_task_failure
+            )
+        if flags_before != (self._runs.is_synced, self._runs.is_outdated):
+            self._entries.send_worker_report()
+        self._execute_commands()
+        return 0.0
+
     async def _load_inherited_shards(self):
         """Load the shards with runs that earlier processes of this agent started."""
         inherited_shards = None
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -23,8 +23,11 @@
 from turmericknot.wire.shard_messages import RunName
 
 EXPECT_INSTANCE_HEADER = "X-Turmericknot-Expect-Instance"
-# A healthy worker, on the same VM, answers within a millisecond.
-WORKER_CALL_TIMEOUT_S = 0.4
+# A healthy worker, on the same VM, answers within a millisecond. Calls whose answer is
+# lost are settled by the next renewal, which also shows the ends of runs: a long wait
+# for a lost answer costs more than a call too many.
+WORKER_CALL_TIMEOUT_S = 0.2
+RENEWAL_TIMEOUT_S = 0.15  # added to the time that the worker may wait for an end
 REPORT_PATH_PREFIX = "/instances/"
 MAX_LOGGED_ROW_CHARS = 100
 
@@ -118,7 +121,8 @@
         }
         if call.deadline_ms is not None:
             body["deadline_ms"] = call.deadline_ms
-        reply = await self._post("/hold", body, call.life, wait_s)
+        timeout_s = RENEWAL_TIMEOUT_S + wait_s
+        reply = await self._post("/hold", body, call.life, timeout_s)
         _raise_unless_accepted(reply)
         return _decode_run_lists(reply.body)
 
@@ -143,13 +147,14 @@
                 raise
             return refusal.clock_ms / 1000
 
-    async def _post(self, path, body, life, wait_s=0.0, may_send=None):
+    async def _post(
+        self, path, body, life, timeout_s=WORKER_CALL_TIMEOUT_S, may_send=None
+    ):
         headers = (
             ("Content-Type", "application/json"),
             (EXPECT_INSTANCE_HEADER, life.id),
         )
         data = msgspec.json.encode(body)
-        timeout_s = WORKER_CALL_TIMEOUT_S + wait_s
         try:
             return await self.http_client.request(
                 "POST", path, data, headers, timeout_s, may_send
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -33,6 +33,10 @@
     if result.born is not None and result.born != state.life.born:
         _mark_outdated(state, result.born)
         return
+    if _is_overtaken(state, call, result):
+        return
+    state.lists_clock_ms = result.clock_ms
+    state.lists_received_at = now
     state.fence_step_ms = FENCE_STEP_MS
     state.last_forgotten_end = max(state.last_forgotten_end, call.last_seen)
     state.life.clock = result.clock_ms / 1000
@@ -56,6 +60,17 @@
     start_queued_runs(state, now)
 
 
+def _is_overtaken(state, call, result):
+    """Return whether the lists are older than those of an overlapping renewal.
+
+    They could contain runs whose ends have been handled already.
+    """
+    return (
+        call.sent_at <= state.lists_received_at
+        and result.clock_ms < state.lists_clock_ms
+    )
+
+
 def _mark_outdated(state, born):
     """Stop using the worker until the report of its new process arrives."""
     if born > state.life.born and not state.is_outdated:
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -41,6 +41,8 @@
         "runs",
         "ends",
         "last_listed_end",
+        "lists_clock_ms",
+        "lists_received_at",
         "last_forgotten_end",
         "lease_until",
         "is_shutting_down",
@@ -65,6 +67,8 @@
         self.runs = {}
         self.ends = {}  # number -> (shard, EndedRun), until acknowledged
         self.last_listed_end = 0  # number of the last end the worker listed
+        self.lists_clock_ms = 0  # worker's clock when it made the last lists
+        self.lists_received_at = 0.0
         self.last_forgotten_end = 0  # number of the last end the worker dropped
         self.lease_until = 0.0
         self.is_shutting_down = False
@@ -235,6 +239,7 @@
     state.ends.clear()
     state.inherited_ends.clear()
     state.last_listed_end = 0
+    state.lists_clock_ms = 0
     state.last_forgotten_end = 0
     state.is_outdated = False
     state.lease_until = 0.0
