--- a/tests/node/test_agent_calls.py
+++ b/tests/node/test_agent_calls.py
@@ -131,11 +131,11 @@
     """A client to which the answer of the first renewal is lost."""
 
     def __init__(self):
-        self.calls = 0
+        self.waits = []
 
     async def renew_lease(self, call, wait_s):
-        self.calls += 1
-        if self.calls == 1:
+        self.waits.append(wait_s)
+        if len(self.waits) == 1:
             raise WorkerUnavailable("no answer")
         await asyncio.sleep(10)
 
@@ -148,7 +148,22 @@
         client = node._worker_client = LosingClient()
         loop = asyncio.create_task(node._renew_lease())
         await asyncio.sleep(0.02)
-        assert client.calls == 2
+        assert len(client.waits) == 2
+        loop.cancel()
+
+    run_with_agent(test)
+
+
+def test_unanswered_start_is_settled_although_a_renewal_is_lost(run_with_agent):
+    """Each further renewal that waits for an end would keep the capacity blocked."""
+
+    async def test(node):
+        call = request_start(node._runs)
+        worker_starts.start_unanswered(node._runs, call.name, steady_time())
+        client = node._worker_client = LosingClient()
+        loop = asyncio.create_task(node._renew_lease())
+        await asyncio.sleep(0.02)
+        assert client.waits == [0.0, 0.0]
         loop.cancel()
 
     run_with_agent(test)
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -521,6 +521,8 @@
     )
     agent.execute_calls(100.1)
     assert not worker_runs.worker_report(agent.state).usable
+    agent.state.runs[next(iter(agent.state.runs))].is_start_unanswered = True
+    assert not agent.state.has_unanswered_starts  # its renewals would not wait
     assert refusal_reasons(request_starts(agent, 100.1, 1)) == ["no_worker"]
     assert worker_lists.next_lease_renewal(agent.state, 100.1).last_seen == 0
     agent.report(100.2, born=2)
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -282,9 +282,9 @@
     async def _renew_lease(self):
         """Renew the worker's lease and collect the ends of runs."""
         while True:
-            wait_s = RENEWAL_WAIT_S if self._runs.is_synced else 0.0
-            if self._renew_now.is_set():
-                wait_s = 0.0
+            runs = self._runs
+            is_urgent = self._renew_now.is_set() or runs.has_unanswered_starts
+            wait_s = RENEWAL_WAIT_S if runs.is_synced and not is_urgent else 0.0
             self._renew_now.clear()
             delay_s = await self._renew_lease_once(wait_s)
             if delay_s:
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -110,6 +110,13 @@
         first = self.first_durable_end
         return self.last_listed_end if first is None else first - 1
 
+    @property
+    def has_unanswered_starts(self):
+        """Return whether a renewal can settle starts whose answers were lost."""
+        return not self.is_outdated and any(
+            run.is_start_unanswered for run in self.runs.values()
+        )
+
     @property
     def needs_inherited_shards(self):
         """Return whether the shards of earlier agent processes must be read.
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -185,6 +185,7 @@
     run = state.runs.get(name)
     if run is not None and not run.is_confirmed:
         run.is_confirmed = True
+        run.is_start_unanswered = False
         run.confirmed_at = now
         run.progressed_at = now
 
