Judge registrations without trusting the clock of a single VM

Cause: an agent took registrations for stale that were 120 s older than the newest one. A single entry whose clock was ahead by more made a restarted agent ignore all others and, since agents choose their entries, would have made running agents leave them.

Change: the three newest registrations are compared, so two clocks may be wrong by any amount; a renewal that was read lately and an open stream show that an entry runs. Of two registrations with one address, the newer counts.

--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -22,7 +22,7 @@
 from .constants import REDIAL_LIMIT_S
 from .registration import (
     FORGET_ENTRY_AFTER_S,
-    STALE_REGISTRATION_AGE_S,
+    create_registrations,
     decode_registration,
 )
 
@@ -81,7 +81,6 @@
         "_entries",
         "_address_by_stream",
         "_registrations",
-        "_newest_time",
         "_choose_timer",
         "_next_choice_at",
     )
@@ -102,8 +101,7 @@
         self._links = create_links(callbacks, redial_max_delay_s=REDIAL_LIMIT_S)
         self._entries = {}  # address -> EntryLink
         self._address_by_stream = {}  # stream -> address
-        self._registrations = {}  # name of an entry -> Registration
-        self._newest_time = 0.0  # of all registrations
+        self._registrations = create_registrations()
         self._choose_timer = None
         self._next_choice_at = 0.0
 
@@ -136,22 +134,12 @@
             self._add_registration(record.key, registration)
 
     def _add_registration(self, name, registration):
-        self._newest_time = max(self._newest_time, registration.time)
-        if self._is_stale(registration):
-            return
-        for other, known in list(self._registrations.items()):
-            if other != name and known.address == registration.address:
-                # The address of a removed entry belongs to this one now.
-                del self._registrations[other]
-        self._registrations[name] = registration
+        self._registrations.add(name, registration, steady_time())
         if self._choose_timer is None:
             self._choose_timer = asyncio.get_running_loop().call_later(
                 REGISTRATIONS_SETTLE_S, self._choose_entries
             )
 
-    def _is_stale(self, registration):
-        return registration.time <= self._newest_time - STALE_REGISTRATION_AGE_S
-
     def update(self, now):
         """Connect to the chosen entries and leave the others; called periodically."""
         self._forget_unreachable_entries(now)
@@ -165,6 +153,10 @@
         if self._choose_timer is not None:
             self._choose_timer.cancel()
             self._choose_timer = None
+        connected_names = {
+            link.name for link in self._entries.values() if link.stream is not None
+        }
+        registrations = self._registrations.current(now, connected_names)
         link_by_name = {link.name: link for link in self._entries.values()}
         candidates = [
             neighborhood.EntryCandidate(
@@ -172,14 +164,13 @@
                 name in link_by_name and link_by_name[name].is_unreachable(now),
                 registration.lacking_services,
             )
-            for name, registration in self._registrations.items()
-            if not self._is_stale(registration)
+            for name, registration in registrations.items()
         ]
         life = self._runs.life
         service = life.service if life is not None else self._settings.service
         chosen = neighborhood.choose_entries(self._settings.node, service, candidates)
         for name in chosen:
-            self._connect_entry(name, self._registrations[name].address)
+            self._connect_entry(name, registrations[name].address)
         for link in self._entries.values():
             is_left = link.leaving_since is not None
             if is_left != (link.name not in chosen):
@@ -217,7 +208,7 @@
         for address, link in list(self._entries.items()):
             if link.stream is None and now - link.answered_at > FORGET_ENTRY_AFTER_S:
                 self._log.info("entry.forgotten", entry=address)
-                self._registrations.pop(link.name, None)
+                self._registrations.remove(link.name)
                 self._drop(address)
 
     def send_worker_report(self):
