Restart periodic tasks after an unexpected error

Cause: one error in a round of a periodic task (ticks, grants, renewals, discovery, registration, probes) ended the process, and with an agent all runs on its worker.

Change: such a task starts again; the fourth error within 30 s ends the process.

--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -37,7 +37,7 @@
 from .constants import SHARD_COUNT
 from .entry_links import create_entry_links
 from .metrics import start_metrics_server
-from .tasks import start_background_task
+from .tasks import start_background_task, start_periodic_task
 from .traffic_log import log_traffic
 from .worker_state import create_worker_state_store
 
@@ -132,13 +132,14 @@
         self._log.info("agent.started", boot=self._boot_id)
         start_background_task(self._restore_worker(), "recall", self.on_task_failure)
         start_background_task(self._worker_state.run(), "memory", self.on_task_failure)
-        start_background_task(self._renew_lease(), "hold", self.on_task_failure)
-        start_background_task(self._entries.run(), "entries", self.on_task_failure)
-        start_background_task(self._check_grants(), "grants", self.on_task_failure)
-        start_background_task(self._start_queued_runs(), "queue", self.on_task_failure)
-        start_background_task(
-            log_traffic(self._links.traffic, "agent"), "traffic", self.on_task_failure
-        )
+        for create_coroutine, name in (
+            (self._renew_lease, "hold"),
+            (self._entries.run, "entries"),
+            (self._check_grants, "grants"),
+            (self._start_queued_runs, "queue"),
+            (lambda: log_traffic(self._links.traffic, "agent"), "traffic"),
+        ):
+            start_periodic_task(create_coroutine, name, self.on_task_failure)
         await self._shutdown.wait()
         if self._failed_task:
             return 1
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -46,7 +46,7 @@
 from .peers import PROBE_INTERVAL_S, create_peers, member_name
 from .registration import REGISTER_INTERVAL_S, Registration, encode_registration
 from .requests import RemoteWaiter, create_requests, deliver_answer
-from .tasks import start_background_task
+from .tasks import start_background_task, start_periodic_task
 from .traffic_log import log_traffic
 
 TICK_INTERVAL_S = 0.1
@@ -415,14 +415,13 @@
             lambda configuration: self.apply_configuration(configuration, server),
         )
         start_background_task(configuration_loop, "configuration", self.on_task_failure)
-        start_background_task(
-            self._register_address(), "register", self.on_task_failure
-        )
-        start_background_task(self._run_ticks(), "tick", self.on_task_failure)
-        start_background_task(
-            log_traffic(self.links.traffic, "entry"), "traffic", self.on_task_failure
-        )
-        start_background_task(self._probe_peers(), "probe", self.on_task_failure)
+        for create_coroutine, name in (
+            (self._register_address, "register"),
+            (self._run_ticks, "tick"),
+            (self._probe_peers, "probe"),
+            (lambda: log_traffic(self.links.traffic, "entry"), "traffic"),
+        ):
+            start_periodic_task(create_coroutine, name, self.on_task_failure)
         membership_task = start_background_task(
             self.membership.run(), "membership", self.on_task_failure
         )
--- a/turmericknot/node/tasks.py
+++ b/turmericknot/node/tasks.py
@@ -1,9 +1,17 @@
 """Background tasks on the event loop of a process."""
 
 import asyncio
+from collections import deque
 
 from turmericknot.utils.logging import get_logger
 
+from .clock import steady_time
+
+# A periodic task that fails more often than this within the window ends the process.
+MAX_FAILURES = 3
+FAILURE_WINDOW_S = 30.0
+RESTART_DELAY_S = 0.1
+
 
 def start_background_task(coroutine, name, on_failure):
     """Run a coroutine as a task; call ``on_failure(name)`` when it raises.
@@ -21,3 +29,30 @@
 
     task.add_done_callback(report_failure)
     return task
+
+
+def start_periodic_task(create_coroutine, name, on_failure):
+    """Run ``create_coroutine()`` as a task, and start it again when it raises.
+
+    One bad input or unexpected state must not take the process down. Failures that go
+    on do: ``on_failure(name)`` is called after several within a short time.
+    """
+    return start_background_task(
+        _run_and_restart(create_coroutine, name), name, on_failure
+    )
+
+
+async def _run_and_restart(create_coroutine, name):
+    failed_at = deque()
+    while True:
+        try:
+            return await create_coroutine()
+        except Exception:
+            now = steady_time()
+            failed_at.append(now)
+            while failed_at[0] < now - FAILURE_WINDOW_S:
+                failed_at.popleft()
+            if len(failed_at) > MAX_FAILURES:
+                raise
+            get_logger().exception("task.restarted", task=name)
+            await asyncio.sleep(RESTART_DELAY_S)
