Play a site in virtual time and compare policies

turmericknot experiment run FILE plays the unchanged decisions of owners and agents on simulated links, workers and callers.

--- a/turmericknot/management/registry.py
+++ b/turmericknot/management/registry.py
@@ -21,6 +21,7 @@
     "load",
     "explain",
     "traffic",
+    "experiment",
     "platform",
     "version",
 )
--- a/turmericknot/scheduling/neighborhood.py
+++ b/turmericknot/scheduling/neighborhood.py
@@ -34,7 +34,7 @@
         self.lacking_services = lacking_services
 
 
-def choose_entries(agent_name, service, candidates, limit=ENTRIES_PER_AGENT):
+def choose_entries(agent_name, service, candidates):
     """Return the names of the entries to connect to.
 
     An unreachable entry remains chosen, but the next one takes its place as well.
@@ -42,7 +42,7 @@
     chosen = set()
     reachable = 0
     for candidate in sorted(candidates, key=lambda c: _rank(agent_name, c.name)):
-        if reachable < limit:
+        if reachable < ENTRIES_PER_AGENT:
             chosen.add(candidate.name)
             reachable += not candidate.is_unreachable
         elif service in candidate.lacking_services:
