Move the registration of an entry into a module of its own

Its logic grew with the services that lack agents; behaviour is unchanged but for an append that fails, after which the next one contains what is lacking by then.

--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import math
 import random
 import signal
 import time
@@ -11,16 +10,14 @@
 from turmericknot.aio.server import Response, create_http_server
 from turmericknot.core.exceptions import (
     MessageError,
-    StoreError,
     UnsupportedJob,
 )
 from turmericknot.core.ids import create_incarnation_id, shard_of_job
 from turmericknot.platform import jobs as platform_jobs
-from turmericknot.platform.store import ENTRIES_TOPIC, KeyedRecord, create_store
+from turmericknot.platform.store import create_store
 from turmericknot.scheduling import (
     besteffort,
     job_requests,
-    neighborhood,
     owner as decisions,
     reports,
     runs,
@@ -44,7 +41,7 @@
 from .metrics import start_metrics_server
 from .operator import follow_configuration
 from .peers import PROBE_INTERVAL_S, create_peers, member_name
-from .registration import REGISTER_INTERVAL_S, Registration, encode_registration
+from .registrar import create_registrar
 from .requests import RemoteWaiter, create_requests, deliver_answer
 from .tasks import start_background_task, start_periodic_task
 from .traffic_log import log_traffic
@@ -59,10 +56,6 @@
 # disconnected.
 STALL_THRESHOLD_S = 0.5
 PAUSE_AFTER_STALL_S = 0.3
-REGISTER_RETRY_DELAY_S = 0.3
-REGISTER_CHECK_INTERVAL_S = 0.5
-# The agents chosen by hash connect within this time after the start of an entry.
-AGENTS_CONNECT_S = 2.0
 # How long new jobs are accepted after SIGTERM, when readiness already fails: load
 # balancers need up to two probes, 1 s apart, to stop sending requests.
 UNREADY_SERVING_S = 2.6
@@ -133,8 +126,7 @@
         "_refuses_jobs",
         "_best_effort_shard",
         "_exit_deadline",
-        "_lacking_services",
-        "_agents_expected_at",
+        "_registrar",
     )
 
     def __init__(self, settings):
@@ -168,8 +160,9 @@
         self._is_draining = False
         self._refuses_jobs = False  # set when a new job could not end before the exit
         self._exit_deadline = None  # latest exit time of a stopping process
-        self._lacking_services = ()
-        self._agents_expected_at = steady_time() + AGENTS_CONNECT_S
+        self._registrar = create_registrar(
+            self.store, settings.node, settings.link_address
+        )
         shard_number = zlib.crc32(self.member.encode())
         self._best_effort_shard = besteffort.open_best_effort_shard(
             self.owner, shard_number
@@ -416,7 +409,7 @@
         )
         start_background_task(configuration_loop, "configuration", self.on_task_failure)
         for create_coroutine, name in (
-            (self._register_address, "register"),
+            (self._registrar.run, "register"),
             (self._run_ticks, "tick"),
             (self._probe_peers, "probe"),
             (lambda: log_traffic(self.links.traffic, "entry"), "traffic"),
@@ -479,40 +472,6 @@
             await asyncio.sleep(0.02)
         self.log.info("entry.stopped", busy=server.busy_connection_count)
 
-    async def _register_address(self):
-        """Keep this entry registered for the agents, with the services it lacks."""
-        registered_at = -math.inf
-        lacking_services = ()
-        while True:
-            previous, lacking_services = lacking_services, self._lacking_services
-            is_renewal_due = steady_time() - registered_at > REGISTER_INTERVAL_S
-            if not is_renewal_due and lacking_services == previous:
-                await asyncio.sleep(REGISTER_CHECK_INTERVAL_S)
-                continue
-            registration = Registration(
-                self.settings.link_address, time.time(), list(lacking_services)
-            )
-            value = encode_registration(registration)
-            record = KeyedRecord(self.settings.node, value)
-            try:
-                await self.store.append(ENTRIES_TOPIC, 0, [record])
-                registered_at = steady_time()
-            except StoreError as error:
-                self.log.warning("register.failed", reason=str(error))
-                registered_at = -math.inf
-                await asyncio.sleep(REGISTER_RETRY_DELAY_S)
-
-    def _update_lacking_services(self, now):
-        """Find out which services lack agents, once the agents had time to connect."""
-        if self.configuration is None or now < self._agents_expected_at:
-            return
-        lacking_services = neighborhood.find_lacking_services(
-            self.owner, self.configuration.services, self._lacking_services
-        )
-        if lacking_services != self._lacking_services:
-            self._lacking_services = lacking_services
-            self.log.info("agents.lacking", services=",".join(lacking_services))
-
     async def _run_ticks(self):
         last_tick_at = steady_time()
         while True:
@@ -525,7 +484,10 @@
                 self.owner.paused_until = now + PAUSE_AFTER_STALL_S
             last_tick_at = now
             runs.tick(self.owner, now)
-            self._update_lacking_services(now)
+            if self.configuration is not None:
+                self._registrar.update_lacking_services(
+                    self.owner, self.configuration.services, now
+                )
             self.execute_commands()
 
     async def _probe_peers(self):
