--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -223,9 +223,12 @@
             self._links.send(link.stream, message)
 
     def _worker_report(self, link):
-        """Return the report for an entry; an entry that is left gets no more use."""
+        """Return the report for an entry, which is not to use an agent that leaves it.
+
+        ``link`` is None for an entry that has just been left.
+        """
         report = worker_runs.worker_report(self._runs)
-        if report is not None and link.leaving_since is not None:
+        if report is not None and (link is None or link.leaving_since is not None):
             report = msgspec.structs.replace(report, usable=False)
         return report
 
@@ -235,7 +238,7 @@
             self._settings.node,
             self._boot_id,
             self._settings.failure_domain,
-            self._worker_report(self._entries[address]),
+            self._worker_report(self._entries.get(address)),
         )
 
     def _on_opened(self, stream, first_message, key):
