--- a/tests/model/test_experiment.py
+++ b/tests/model/test_experiment.py
@@ -110,7 +110,8 @@
 def test_command_compares_the_variants(tmp_path, capsys):
     path = tmp_path / "experiment.toml"
     path.write_text(EXPERIMENT)
-    assert run(str(path)) == 0
+    assert run(str(path), plots=str(tmp_path / "plots")) == 0
+    assert "check" in (tmp_path / "plots" / "response-0.svg").read_text()
     captured = capsys.readouterr()
     assert "as is" in captured.out and "check" in captured.out
     assert "played 2 of 2" in captured.err
--- a/turmericknot/management/commands/experiment.py
+++ b/turmericknot/management/commands/experiment.py
@@ -9,13 +9,14 @@
 from turmericknot.management.registry import register_command
 from turmericknot.model.description import load_experiment
 from turmericknot.model.play import play_experiment
+from turmericknot.model.plots import write_plots
 from turmericknot.model.summary import mean_and_range
 
 MAX_JOBS = 64
 
 
 @register_command("experiment", "run")
-def run(experiment_file, jobs="1", json=False):
+def run(experiment_file, jobs="1", plots="", json=False):
     """Play EXPERIMENT_FILE and compare its variants.
 
     The decisions of entries and agents run unchanged; links, workers and callers are
@@ -25,6 +26,7 @@
     Args:
         experiment_file: sizes, load, troubles and variants (TOML)
         jobs: number of processes that play runs at the same time
+        plots: directory for plots (SVG) of the jobs in time and the response times
         json: print one JSON object for each run instead of tables
     """
     if not jobs.isdigit() or not 1 <= int(jobs) <= MAX_JOBS:
@@ -42,6 +44,9 @@
         print(f"interrupted after {len(played)} of {total}", file=sys.stderr)
     if played and not json:
         _print_tables(played)
+    if played and plots:
+        for path in write_plots(plots, played):
+            print(f"wrote {path}", file=sys.stderr)
     return exit_codes.OK if len(played) == total else exit_codes.FAILED
 
 
--- a/turmericknot/model/summary.py
+++ b/turmericknot/model/summary.py
@@ -17,6 +17,7 @@
     return {
         "in_time": _share(results, _is_in_time),
         "worst_window": _worst_window(results),
+        "windows": _windows(results),
         "messages_per_task": sum(messages.values()) / max(tasks, 1),
         "refused_starts_per_task": messages.get("RunsRefused", 0) / max(tasks, 1),
         "kinds": {
@@ -51,11 +52,33 @@
     return sum(map(condition, results)) / len(results) if results else 0.0
 
 
-def _worst_window(results):
-    """Return the lowest share in time of the windows with a tenth of the mean jobs."""
+def _group_by_window(results):
     windows = {}
     for result in results:
         windows.setdefault(int(result.submitted_at // WINDOW_S), []).append(result)
+    return windows
+
+
+def _windows(results):
+    """Return rows (start in seconds, jobs, share in time, p99 in ms by kind)."""
+    rows = []
+    for number, window in sorted(_group_by_window(results).items()):
+        p99_by_kind = {}
+        for kind in sorted({result.kind for result in window}):
+            seconds = sorted(
+                result.seconds
+                for result in window
+                if result.kind == kind and result.outcome is Outcome.SUCCEEDED
+            )
+            p99_by_kind[kind] = round(_quantile_ms(seconds, 0.99), 1)
+        in_time = round(_share(window, _is_in_time), 4)
+        rows.append((number * WINDOW_S, len(window), in_time, p99_by_kind))
+    return rows
+
+
+def _worst_window(results):
+    """Return the lowest share in time of the windows with a tenth of the mean jobs."""
+    windows = _group_by_window(results)
     mean_jobs = len(results) / max(len(windows), 1)
     shares = [
         _share(window, _is_in_time)
