Tell every entry when a worker turns slow

Cause: when workers turn slow, each entry finds that out by late runs of its own; of 9 entries, each has a ninth of the runs on a worker.

Change: usage reports carry the pace of the worker over the runs of all owners.

--- a/turmericknot/model/agent.py
+++ b/turmericknot/model/agent.py
@@ -117,15 +117,16 @@
     def _attach_usage(self, entries):
         if not entries:
             return
-        usage = usage_reports.measure_usage(self._state)
+        usage = usage_reports.measure_usage(self._state, self._clock.now)
         for entry in entries:
             known = self._known_usage.get(entry)
             if known is not None and usage.foreign_to(entry) != known.usage:
-                self._report_usage(entry, usage.foreign_to(entry))
+                self._report_usage(entry, usage.foreign_to(entry), usage.pace)
 
-    def _report_usage(self, entry, foreign_usage):
-        self._known_usage[entry].record_report(foreign_usage, self._clock.now)
-        self._site.send_to_entry(self.name, entry, wire.RoomReport(*foreign_usage))
+    def _report_usage(self, entry, foreign_usage, pace):
+        self._known_usage[entry].record_report(foreign_usage, pace, self._clock.now)
+        report = wire.RoomReport(*foreign_usage, pace)
+        self._site.send_to_entry(self.name, entry, report)
 
     def _call_start(self, call):
         site = self._site
@@ -181,11 +182,11 @@
         self._execute_commands()
         life = self._state.life
         capacity = (life.cpu, life.memory, life.accelerators)
-        usage = usage_reports.measure_usage(self._state)
+        usage = usage_reports.measure_usage(self._state, self._clock.now)
         for entry, foreign_usage in usage_reports.choose_reports(
             self._known_usage, usage, capacity
         ):
-            self._report_usage(entry, foreign_usage)
+            self._report_usage(entry, foreign_usage, usage.pace)
 
 
 def create_agent(site, name, cpu, speed):
