--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -307,28 +307,28 @@
         known_by_stream = {
             stream: link.known_usage for stream, link in open_links.items()
         }
-        usage = usage_reports.measure_usage(self._runs, steady_time())
+        usage = usage_reports.measure_usage(self._runs)
         capacity = (life.cpu, life.memory, life.accelerators)
         for stream, foreign_usage in usage_reports.choose_reports(
             known_by_stream, usage, capacity
         ):
-            self._report_usage(open_links[stream], foreign_usage, usage.pace)
+            self._report_usage(open_links[stream], foreign_usage)
         self._links.flush()
 
     def attach_usage_reports(self, streams):
         """Report the usage to entries that are being sent other messages."""
-        usage = usage_reports.measure_usage(self._runs, steady_time())
+        usage = usage_reports.measure_usage(self._runs)
         for stream in streams:
             link = self._entries.get(self._address_by_stream.get(stream))
             if link is None or link.stream != stream:
                 continue
             foreign_usage = usage.foreign_to(stream)
             if foreign_usage != link.known_usage.usage:
-                self._report_usage(link, foreign_usage, usage.pace)
+                self._report_usage(link, foreign_usage)
 
-    def _report_usage(self, link, foreign_usage, pace):
-        link.known_usage.record_report(foreign_usage, pace, steady_time())
-        self._links.send(link.stream, wire.RoomReport(*foreign_usage, pace))
+    def _report_usage(self, link, foreign_usage):
+        link.known_usage.record_report(foreign_usage, steady_time())
+        self._links.send(link.stream, wire.RoomReport(*foreign_usage))
 
 
 def create_entry_links(settings, boot_id, runs, store, handle_messages):
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -24,8 +24,9 @@
     finish_if_complete,
     run_ended_without_result,
 )
-from .usage_reports import SLOW_PACE
 
+# A worker below this share of the expected speed is slow.
+SLOW_PACE_RATIO = 0.4
 # A run is moved if the rest of it takes this many times as long as a new run elsewhere.
 MIN_MOVE_SPEEDUP = 1.5
 MOVE_OVERHEAD_S = 0.3  # added for the stop and the start on another worker
@@ -297,7 +298,7 @@
     if shard is None or view is None:
         return
     workers.observe_pace(view, report.pace)
-    if not 0 < report.pace < SLOW_PACE:
+    if not 0 < report.pace < SLOW_PACE_RATIO:
         return
     for row in report.runs:
         task = _find_task(shard, row.name)
@@ -351,7 +352,6 @@
     view.foreign_cpu = report.cpu
     view.foreign_memory = report.memory
     view.foreign_accelerators = report.accelerators
-    workers.observe_shared_pace(view, report.pace, SLOW_PACE)
 
 
 def mark_full(view):
--- a/turmericknot/scheduling/usage_reports.py
+++ b/turmericknot/scheduling/usage_reports.py
@@ -6,13 +6,8 @@
 those only changes that matter for the choice of a worker are reported, to a few entries
 at a time: an entry whose report is oldest comes first. Capacity that has become free is
 thus offered to one or two entries at a time, which do not compete for it.
-
-A report also tells the pace of the worker. When workers turn slow in a burst, each of
-dozens of entries would otherwise find that out by late runs of its own.
 """
 
-from .worker_pace import worker_pace
-
 # Entries told of changes in one round, besides those that get a message anyway.
 MAX_REPORTS_PER_ROUND = 2
 # With less than this share of a resource free, a worker counts as nearly full.
@@ -20,20 +15,16 @@
 # Changes of the used share of a resource that matter for the choice of a worker.
 SIGNIFICANT_SHARE_NEARLY_FULL = 1 / 16
 SIGNIFICANT_SHARE = 1 / 4
-# Every entry is told when the pace of the worker falls below this, and when it is above
-# again. Estimates of run times are off by half, now and then.
-SLOW_PACE = 0.4
 
 
 class EntryUsage:
     """What one entry was last told about the use of the worker by others."""
 
-    __slots__ = ("_usage", "_reported_at", "_is_slow")
+    __slots__ = ("_usage", "_reported_at")
 
     def __init__(self):
         self._usage = None  # (cpu, memory, accelerators); None: unknown to the entry
         self._reported_at = 0.0
-        self._is_slow = False
 
     @property
     def usage(self):
@@ -45,17 +36,10 @@
         """Return the time of the last report."""
         return self._reported_at
 
-    @property
-    def is_slow(self):
-        """Return whether the entry was told that the worker is slow."""
-        return self._is_slow
-
-    def record_report(self, usage, pace, now):
-        """Record that this usage and pace are being reported."""
+    def record_report(self, usage, now):
+        """Record that this usage is being reported."""
         self._usage = usage
         self._reported_at = now
-        if pace > 0:
-            self._is_slow = pace < SLOW_PACE
 
     def forget(self):
         """Have the usage reported again, because the entry's figures are outdated."""
@@ -63,15 +47,11 @@
 
 
 class WorkerUsage:
-    """Resources that the runs on a worker use, in all and by the owner's stream.
-
-    ``pace`` is that of the worker, or 0 if it is not known.
-    """
+    """Resources that the runs on a worker use, in all and by the owner's stream."""
 
-    __slots__ = ("pace", "_total", "_by_stream")
+    __slots__ = ("_total", "_by_stream")
 
-    def __init__(self, total, by_stream, pace):
-        self.pace = pace
+    def __init__(self, total, by_stream):
         self._total = total
         self._by_stream = by_stream
 
@@ -83,7 +63,7 @@
         )
 
 
-def measure_usage(state, now):
+def measure_usage(state):
     """Return the WorkerUsage of all runs, those that are still queued included."""
     total, by_stream = [0, 0, 0], {}
     for run in state.runs.values():
@@ -95,7 +75,7 @@
             part[0] += run.cpu
             part[1] += run.memory
             part[2] += run.accelerators
-    return WorkerUsage(total, by_stream, worker_pace(state, now))
+    return WorkerUsage(total, by_stream)
 
 
 def is_significant(reported, usage, capacity):
@@ -125,8 +105,7 @@
     due = []
     for stream, known in known_by_stream.items():
         foreign_usage = usage.foreign_to(stream)
-        has_new_pace = usage.pace > 0 and known.is_slow != (usage.pace < SLOW_PACE)
-        if has_new_pace or is_significant(known.usage, foreign_usage, capacity):
+        if is_significant(known.usage, foreign_usage, capacity):
             due.append((known.reported_at, stream, foreign_usage))
     due.sort()
     return [(stream, foreign) for _, stream, foreign in due[:MAX_REPORTS_PER_ROUND]]
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -227,18 +227,6 @@
         agent.slowdown = max(agent.slowdown, min(1 / pace, MAX_OBSERVED_SLOWDOWN))
 
 
-def observe_shared_pace(agent, pace, slow_pace):
-    """Update the slowdown of a worker from its pace over the runs of all owners.
-
-    A worker below ``slow_pace`` is avoided before this owner has late runs there, and
-    used again when it is no longer slow. ``pace`` is 0 if it is not known.
-    """
-    if 0 < pace < slow_pace:
-        observe_pace(agent, pace)
-    elif pace >= slow_pace and agent.slowdown > 1 / slow_pace:
-        agent.slowdown = 1 / pace
-
-
 def observe_stuck(agent, now):
     """Suspend a worker on which a run made no progress.
 
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -169,16 +169,11 @@
 
 
 class RoomReport(Message, tag=78):
-    """Report the resources that runs of other owners use on the worker.
-
-    ``pace`` is the ratio of the worker's speed to the expected speed over the runs of
-    all owners; 0 if it is not known.
-    """
+    """Report the resources that runs of other owners use on the worker."""
 
     cpu: int
     memory: int
     accelerators: int
-    pace: float = 0.0
 
 
 class RunProgress(msgspec.Struct, array_like=True, frozen=True):
