Space renewals to a worker that resets connections

Cause: since a lost renewal is repeated at once, a worker that resets each connection as it is opened would have been called without end (3,213 calls in 0.25 s).

Change: renewals whose answers are lost are at least 50 ms apart.

Result: the new test fails without the spacing.

--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -43,10 +43,12 @@
 
 GRANT_CHECK_INTERVAL_S = 0.25
 QUEUE_CHECK_INTERVAL_S = 0.03
-# Longest time that a renewal waits for the end of a run. A lease of 1 s survives two
-# lost renewals.
+# Longest time that a renewal waits for the end of a run. Those after a lost answer do
+# not wait, so the lease survives three lost answers in a row.
 RENEWAL_WAIT_S = 0.25
 RENEWAL_RETRY_DELAY_S = 0.1
+# A worker may reset each connection at once; renewals are at least this far apart then.
+LOST_RENEWAL_INTERVAL_S = 0.05
 # Every concurrent start needs a connection of its own, with a handshake; a start takes
 # about a millisecond.
 MAX_CONCURRENT_STARTS = 8
@@ -75,6 +77,7 @@
         "_failed_task",
         "_worker_calls",
         "_renew_now",
+        "_is_renewal_lost",
         "_ends_acknowledged",
         "_start_slots",
         "_inherited_shards_task",
@@ -105,6 +108,7 @@
         self._failed_task = ""
         self._worker_calls = set()  # start and stop calls in flight
         self._renew_now = asyncio.Event()
+        self._is_renewal_lost = False  # whether the last answer was lost
         self._ends_acknowledged = asyncio.Event()
         self._start_slots = asyncio.Semaphore(MAX_CONCURRENT_STARTS)
         self._inherited_shards_task = None
@@ -284,7 +288,11 @@
         """Renew the worker's lease and collect the ends of runs."""
         while True:
             runs = self._runs
-            is_urgent = self._renew_now.is_set() or runs.has_unanswered_starts
+            is_urgent = (
+                self._renew_now.is_set()
+                or self._is_renewal_lost
+                or runs.has_unanswered_starts
+            )
             wait_s = RENEWAL_WAIT_S if runs.is_synced and not is_urgent else 0.0
             self._renew_now.clear()
             delay_s = await self._renew_lease_once(wait_s)
@@ -330,8 +338,11 @@
             # Until the next answer, no end of a run is seen and the lease runs out: the
             # next renewal does not wait.
             self._log.warning("hold.unanswered", reason=str(error))
-            self._renew_now.set()
+            self._is_renewal_lost = True
+            elapsed_s = steady_time() - now
+            await asyncio.sleep(max(0.0, LOST_RENEWAL_INTERVAL_S - elapsed_s))
             return 0.0
+        self._is_renewal_lost = False
         flags_before = self._runs.is_synced, self._runs.is_outdated
         worker_lists.lease_renewal_answered(self._runs, call, result, steady_time())
         if self._runs.needs_inherited_shards and self._inherited_shards_task is None:
