Log the runs on a worker that does not accept connections

Nothing in the logs said which runs were on a worker when it crashed, how old they were, or when the agent first noticed. worker.unreachable and worker.reachable do. No logic is changed.

--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -21,6 +21,7 @@
     worker_id_from_path,
 )
 from turmericknot.scheduling import (
+    worker_crashes,
     worker_leases,
     worker_lists,
     worker_pace,
@@ -227,6 +228,7 @@
                 await self._worker_client.start(call, lambda: self._may_send(call))
         except WorkerRefused as error:
             self._log.info("start.refused", job=call.name.job, reason=error.reason)
+            self._record_refusal(error)
             if error.reason == "fence" and call.fence >= self._runs.fence:
                 worker_runs.fence_refused(self._runs, steady_time())
             worker_starts.start_refused(self._runs, call.name, error.reason)
@@ -331,6 +333,7 @@
             result = await self._worker_client.renew_lease(call, wait_s)
         except WorkerRefused as error:
             self._log.warning("hold.refused", reason=error.reason)
+            self._record_refusal(error)
             if error.reason == "fence":
                 worker_runs.fence_refused(self._runs, steady_time())
             return RENEWAL_RETRY_DELAY_S
@@ -343,6 +346,7 @@
             await asyncio.sleep(max(0.0, LOST_RENEWAL_INTERVAL_S - elapsed_s))
             return 0.0
         self._is_renewal_lost = False
+        worker_crashes.worker_answered(self._runs, steady_time())
         flags_before = self._runs.is_synced, self._runs.is_outdated
         worker_lists.lease_renewal_answered(self._runs, call, result, steady_time())
         if self._runs.needs_inherited_shards and self._inherited_shards_task is None:
@@ -354,6 +358,13 @@
         self._execute_commands()
         return 0.0
 
+    def _record_refusal(self, error):
+        """Record whether the worker itself has refused a call or could not get it."""
+        if error.reason == "unreachable":
+            worker_crashes.worker_unreachable(self._runs, steady_time())
+        elif error.reason != "no_grant":
+            worker_crashes.worker_answered(self._runs, steady_time())
+
     async def _load_inherited_shards(self):
         """Load the shards with runs that earlier processes of this agent started."""
         inherited_shards = None
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -53,6 +53,7 @@
         "is_outdated",
         "has_report",
         "recalled_until",
+        "unreachable_since",
         "commands",
     )
 
@@ -85,6 +86,8 @@
         self.is_outdated = False  # a later incarnation of the worker has answered
         self.has_report = False  # the worker has reported itself
         self.recalled_until = 0.0  # how long a recalled worker may be used
+        # When the worker first did not accept a connection; None once it answers.
+        self.unreachable_since = None
         self.commands = []
 
     @property
@@ -249,6 +252,7 @@
     state.lists_clock_ms = 0
     state.last_forgotten_end = 0
     state.is_outdated = False
+    state.unreachable_since = None
     state.lease_until = 0.0
 
 
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -154,6 +154,7 @@
 def _request_start(state, run, now):
     spec, run.pending_start = run.pending_start.spec, None
     run.fence = state.fence
+    run.start_sent_at = now
     deadline_ms = lease_deadline_ms(state, now)
     if deadline_ms is None:
         start_refused(state, run.name, "no_lease")
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -61,6 +61,7 @@
     memory: int = 0
     accelerators: int = 0
     fence: int = 0
+    start_sent_at: float = 0.0  # when the start call was decided
     is_confirmed: bool = False
     confirmed_at: float = 0.0
     is_listed: bool = False  # the worker has listed it in a renewal
