--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -7,6 +7,7 @@
     ownership,
     reports,
     runs,
+    worker_crashes,
     worker_leases,
     worker_lists,
     worker_runs,
@@ -29,6 +30,8 @@
 
 SHARD_COUNT = 1
 FULL_RUN_S = 10.0  # time in which a run would reach 100 percent
+CRASH_DELAY_S = 0.01  # from the start of a deadly task to the crash of its worker
+CRASHED_S = 3.0  # from the crash of a worker to the report of its next process
 JOB_ID = "00000000000000a1"
 
 
@@ -95,7 +98,13 @@
         self.sequence = 0
         self.start_calls = []
         self.stop_calls = []
+        self.unsent_messages = []  # (stream, message)
         self.executes_calls = True  # whether calls to the worker take effect at once
+        self.deadly_tasks = set()  # (job, step, index) that crash the worker
+        self.crashes = []  # (time, names of the runs) of each crash of the worker
+        self.crashes_at = None
+        self.down_until = None
+        self.born = 1
 
     def restart(self, now, reports=True):
         """Start a new process of the agent; the worker goes on running."""
@@ -105,12 +114,33 @@
             self.report(now)
             self.renew_lease(now)
 
-    def report(self, now, usable=True, born=1):
+    def report(self, now, usable=True, born=None):
         """Deliver a report of the worker."""
         return worker_runs.worker_reported(
-            self.state, self.life(now, usable, born), now
+            self.state, self.life(now, usable, born or self.born), now
         )
 
+    def crash(self, now, down_s=CRASHED_S):
+        """End the worker's process, and all of its runs."""
+        self.crashes.append((now, list(self.worker.running)))
+        self.worker.running.clear()
+        self.worker.ends.clear()
+        self.crashes_at = None
+        self.down_until = now + down_s
+
+    def check_crash(self, now):
+        """Crash the worker, or report its next process, when it is time.
+
+        Return whether the agent has something to tell the entries.
+        """
+        if self.crashes_at is not None and now >= self.crashes_at:
+            self.crash(now)
+        if self.down_until is None or now < self.down_until:
+            return False
+        self.down_until = None
+        self.born += 1
+        return self.report(now)
+
     def life(self, now, usable=True, born=1):
         """Return the WorkerLife that the worker would report now."""
         self.sequence += 1
@@ -131,9 +161,12 @@
     def renew_lease(self, now):
         """Make one lease renewal."""
         call = worker_lists.next_lease_renewal(self.state, now)
-        self.execute_calls(now)
+        self.unsent_messages = self.execute_calls(now)
         if call is None:
             return None
+        if self.down_until is not None:
+            worker_crashes.worker_unreachable(self.state, now)
+            return call
         ends = [end for end in self.worker.ends if end.number > call.last_seen]
         running = [
             ListedRun(name, min(99, int((now - started_at) / FULL_RUN_S * 100)))
@@ -145,14 +178,20 @@
 
     def execute_calls(self, now):
         """Execute calls to the worker; return the messages to entries."""
-        messages = []
+        messages, self.unsent_messages = self.unsent_messages, []
         for command in self.state.pop_commands():
             if isinstance(command, StartCall):
                 self.start_calls.append(command)
-                if self.executes_calls:
+                if self.down_until is not None:
+                    worker_crashes.worker_unreachable(self.state, now)
+                    worker_starts.start_refused(self.state, command.name, "unreachable")
+                elif self.executes_calls:
                     self.worker.running[command.name] = now
                     self.worker.started.append(command.name)
                     worker_starts.start_confirmed(self.state, command.name, now)
+                    name = command.name
+                    if (name.job, name.step, name.index) in self.deadly_tasks:
+                        self.crashes_at = now + CRASH_DELAY_S
             elif isinstance(command, StopCall):
                 self.stop_calls.append(command)
                 if self.executes_calls and command.name in self.worker.running:
@@ -189,6 +228,15 @@
         reports.agent_connected(entry.owner, hello, self.now)
         self.renew_grant(entry, agent)
 
+    def send_worker_report(self, agent):
+        """Let an agent report its worker to all connected entries."""
+        report = worker_runs.worker_report(agent.state)
+        for entry_name, agent_name in sorted(self.links):
+            if agent_name == agent.name:
+                reports.worker_changed(
+                    self.entries[entry_name].owner, agent.name, report, self.now
+                )
+
     def disconnect(self, entry, agent):
         """Close the stream; both sides are notified."""
         stream = self.stream_numbers.pop((entry.name, agent.name))
@@ -255,6 +303,8 @@
                     self.renew_grant(self.entries[entry_name], self.agents[agent_name])
             self.deliver_all()
             for agent in self.agents.values():
+                if agent.check_crash(self.now):
+                    self.send_worker_report(agent)
                 worker_leases.check_grants(agent.state, self.now)
                 agent.renew_lease(self.now)
             self.deliver_all()
