Give up a task under which workers have crashed

Every job beside it was lost each time.

Cause: a run that ends with its worker counted as LOST, which has no limit. attempts bounds FAILED only. The owner could not count either: the next submission of a best-effort job may reach another entry, and a shard may have a new owner.

Change: the agent reports a crash of its worker to all entries, with the tasks that had runs there and the suspects among them, those that had been at work for less than 0.1 s when the worker last answered. Entries keep a bounded history by task; crashes under durable jobs are stored with the job, and agents repeat recent reports to entries that connect. A task is given up after two crashes as a suspect, or three in all.

--- a/tests/scheduling/fuzz/worker_model.py
+++ b/tests/scheduling/fuzz/worker_model.py
@@ -14,6 +14,7 @@
     LeaseRenewalResult,
     ListedEnd,
     ListedRun,
+    SendToEntries,
     SendToOwner,
     StartCall,
     StopCall,
@@ -216,6 +217,8 @@
                 self.worker.stop_run(command)
             elif isinstance(command, SendToOwner):
                 messages.append((command.stream, command.message))
+            elif isinstance(command, SendToEntries):
+                messages.append((None, command.message))
         return messages
 
     def _request_start(self, call, now):
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from turmericknot.scheduling import ownership
+from turmericknot.scheduling import ownership, worker_starts
 from turmericknot.scheduling.commands import Outcome
+from turmericknot.scheduling.jobs import encode_record
 
 from .site import JOB_ID, create_job_record, gain_shard
 from .test_stored import SHARD, submit
@@ -56,3 +57,107 @@
     deadly_site.advance(30.0)
     assert crashes_under(deadly_site, DEADLY_TASK) <= 3
     assert entry.answers == [("caller", Outcome.FAILED)]
+
+
+def test_new_owner_knows_the_crashes_under_its_tasks(deadly_site):
+    """Neither the death of the owner nor that of all agents may reset the count."""
+    first, second = deadly_site.entries.values()
+    gain_shard(deadly_site, first, SHARD, 1)
+    submit(deadly_site, first, job_record=create_job_record(tasks=1))
+    while crashes_under(deadly_site, DEADLY_TASK) < 1 or running_crash(deadly_site):
+        advance_storing(deadly_site, first, 0.05)
+    record = encode_record(first.owner.shards[SHARD].jobs[JOB_ID].record)
+    for agent in deadly_site.agents.values():
+        deadly_site.disconnect(first, agent)
+        agent.state.recent_crashes.clear()
+    gain_shard(deadly_site, second, SHARD, 2, [(JOB_ID, record)])
+    advance_storing(deadly_site, second, 30.0)
+    assert crashes_under(deadly_site, DEADLY_TASK) == 2
+    assert second.owner.shards[SHARD].jobs[JOB_ID].published_state.name == "FAILED"
+
+
+def running_crash(site):
+    """Return whether a worker is down whose agent does not know it for certain."""
+    return any(agent.down_until is not None for agent in site.agents.values())
+
+
+def test_entry_that_gets_a_job_again_knows_its_crashes(deadly_site):
+    """A caller that has lost its entry submits the job to one that never ran it."""
+    first, second = deadly_site.entries.values()
+    job_record = create_job_record(tasks=1)
+    first.submit_best_effort("caller", deadly_site.now, job_record=job_record, wait=60)
+    while crashes_under(deadly_site, DEADLY_TASK) < 2 or running_crash(deadly_site):
+        deadly_site.advance(0.05)
+    second.submit_best_effort(
+        "again", deadly_site.now, job_record=create_job_record(tasks=1)
+    )
+    deadly_site.advance(0.05)
+    assert second.answers == [("again", Outcome.FAILED)]
+    assert crashes_under(deadly_site, DEADLY_TASK) == 2
+
+
+def test_entry_that_connects_later_learns_of_recent_crashes(deadly_site):
+    """A restarted entry gets the jobs of the one that was killed."""
+    first, second = deadly_site.entries.values()
+    for agent in deadly_site.agents.values():
+        deadly_site.disconnect(second, agent)
+    first.submit_best_effort(
+        "caller", deadly_site.now, job_record=create_job_record(tasks=1), wait=60
+    )
+    while crashes_under(deadly_site, DEADLY_TASK) < 2 or running_crash(deadly_site):
+        deadly_site.advance(0.05)
+    for agent in deadly_site.agents.values():
+        deadly_site.connect(second, agent)
+    assert second.owner.crash_history.is_hopeless(DEADLY_TASK)
+
+
+def test_worker_that_was_drained_has_not_crashed(deadly_site):
+    """Planned restarts must not be held against the tasks that they end."""
+    entry = deadly_site.entries["entry-0"]
+    agent = deadly_site.agents["agent-0"]
+    agent.deadly_tasks.clear()
+    for other in list(deadly_site.agents.values())[1:]:
+        deadly_site.disconnect(entry, other)
+    entry.submit_best_effort("caller", deadly_site.now, wait=60)
+    deadly_site.advance(0.2)
+    agent.report(deadly_site.now, usable=False)
+    agent.crash(deadly_site.now)
+    deadly_site.advance(4.0)
+    assert agent.born == 2
+    assert not entry.owner.crash_history.crash_count(DEADLY_TASK)
+
+
+def test_run_that_was_at_work_for_long_is_no_suspect(deadly_site):
+    """Tasks beside a deadly one must not be taken for it."""
+    entry = deadly_site.entries["entry-0"]
+    agent = deadly_site.agents["agent-0"]
+    for other in list(deadly_site.agents.values())[1:]:
+        deadly_site.disconnect(entry, other)
+    beside = "00000000000000b2"
+    entry.submit_best_effort("beside", deadly_site.now, job=beside, wait=60)
+    deadly_site.advance(0.5)
+    entry.submit_best_effort("caller", deadly_site.now, wait=60)
+    while not agent.crashes or running_crash(deadly_site):
+        deadly_site.advance(0.05)
+    history = entry.owner.crash_history
+    assert history.suspected_count(DEADLY_TASK) == 1
+    assert history.crash_count((beside, 0, 0)) == 1
+    assert history.suspected_count((beside, 0, 0)) == 0
+
+
+def test_start_that_may_not_have_arrived_counts_with_no_other_suspect(deadly_site):
+    """A task must not be given up for the crash of a worker that never had it."""
+    entry = deadly_site.entries["entry-0"]
+    agent = deadly_site.agents["agent-0"]
+    agent.executes_calls = False
+    for other in list(deadly_site.agents.values())[1:]:
+        deadly_site.disconnect(entry, other)
+    entry.submit_best_effort("caller", deadly_site.now, wait=60)
+    deadly_site.deliver_all()
+    for name in list(agent.state.runs):
+        worker_starts.start_unanswered(agent.state, name, deadly_site.now)
+    agent.crash(deadly_site.now)
+    deadly_site.advance(4.0)
+    history = entry.owner.crash_history
+    assert history.is_suspect(DEADLY_TASK)
+    assert history.crash_count(DEADLY_TASK) == 0
--- a/turmericknot/model/agent.py
+++ b/turmericknot/model/agent.py
@@ -9,7 +9,12 @@
     worker_starts,
 )
 from turmericknot.scheduling.grant_requests import create_grant_requests
-from turmericknot.scheduling.worker_types import SendToOwner, StartCall, StopCall
+from turmericknot.scheduling.worker_types import (
+    SendToEntries,
+    SendToOwner,
+    StartCall,
+    StopCall,
+)
 from turmericknot.wire import shard_messages as wire
 
 from .worker import create_worker
@@ -107,6 +112,9 @@
                 if isinstance(command, SendToOwner):
                     self._site.send_to_entry(self.name, command.stream, command.message)
                     addressed.add(command.stream)
+                elif isinstance(command, SendToEntries):
+                    for entry in self._grant_requests:
+                        self._site.send_to_entry(self.name, entry, command.message)
                 elif isinstance(command, StartCall):
                     self._call_start(command)
                 elif isinstance(command, StopCall):
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -30,7 +30,12 @@
 )
 from turmericknot.scheduling.jobs import agent_key
 from turmericknot.scheduling.worker_runs import create_worker_runs
-from turmericknot.scheduling.worker_types import AgentLogLine, SendToOwner, StartCall
+from turmericknot.scheduling.worker_types import (
+    AgentLogLine,
+    SendToEntries,
+    SendToOwner,
+    StartCall,
+)
 from turmericknot.utils.logging import get_logger
 from turmericknot.wire import shard_messages as wire
 
@@ -208,6 +213,8 @@
                 if isinstance(command, SendToOwner):
                     self._links.send(command.stream, command.message)
                     addressed_streams.add(command.stream)
+                elif isinstance(command, SendToEntries):
+                    self._entries.send_crash(command.message)
                 elif isinstance(command, AgentLogLine):
                     self._log.info(command.event, **command.fields)
                 else:
@@ -242,7 +249,9 @@
             worker_starts.start_unanswered(self._runs, call.name, steady_time())
             self._renew_now.set()
         else:
-            worker_starts.start_confirmed(self._runs, call.name, steady_time())
+            now = steady_time()
+            worker_crashes.worker_answered(self._runs, now)
+            worker_starts.start_confirmed(self._runs, call.name, now)
         self._execute_commands()
 
     def _may_send(self, call):
--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -9,6 +9,7 @@
 from turmericknot.scheduling import (
     neighborhood,
     usage_reports,
+    worker_crashes,
     worker_leases,
     worker_runs,
 )
@@ -211,6 +212,12 @@
                 self._registrations.remove(link.name)
                 self._drop(address)
 
+    def send_crash(self, message):
+        """Report a crash of the worker to all connected entries."""
+        for link in self._entries.values():
+            if link.stream is not None:
+                self._links.send(link.stream, message)
+
     def send_worker_report(self):
         """Report the state of the worker to all connected entries."""
         for link in self._entries.values():
@@ -254,6 +261,8 @@
         link.answered_at = now
         self._address_by_stream[stream] = key
         self._log.info("entry.connected", entry=key)
+        for message in worker_crashes.recent_crash_reports(self._runs, now):
+            self._links.send(stream, message)
         self._on_received(stream, [first_message])
         # The worker may have changed since the hello was sent.
         self._send_worker_report(link)
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -53,6 +53,16 @@
     run: int
 
 
+class CrashedRun(msgspec.Struct, array_like=True, frozen=True):
+    """A crash of a worker, one incarnation of it, while it had a run of a task."""
+
+    step: int
+    index: int
+    life: str
+    is_suspect: bool  # the task may have crashed the worker
+    is_certain: bool  # the run had certainly started
+
+
 class JobRecord(msgspec.Struct, array_like=True):
     """The record of a job in the store, under the job's id.
 
@@ -72,6 +82,7 @@
     steps: list[StepSpec] = []
     done: list[list[int]] = []  # indices of the finished tasks of each step
     failed_runs: list[FailedRun] = []
+    crashed_runs: list[CrashedRun] = []
 
 
 class TaskStatus(IntEnum):
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -9,6 +9,7 @@
 
 from . import admission, workers
 from .commands import AnswerRequest, OwnerLogLine, SendMessage, StoreRecord
+from .crash_history import create_crash_history
 from .estimates import create_run_times
 from .jobs import FailedRun, JobState, TaskStatus, encode_record
 from .placement_events import create_placement_events
@@ -89,6 +90,7 @@
         "placement_events",
         "backlog",
         "run_times",
+        "crash_history",
         "commands",
         "_deferred_acknowledgements",
         "_flush_acknowledgements_at",
@@ -112,6 +114,7 @@
         self.placement_events = create_placement_events()
         self.backlog = admission.Backlog()
         self.run_times = create_run_times()
+        self.crash_history = create_crash_history()
         self.commands = []
         # (agent id, life of its worker) -> numbers of ends to acknowledge
         self._deferred_acknowledgements = {}
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -73,6 +73,9 @@
     job.published_state = job.state
     if job.state is JobState.ACTIVE:
         job.due_at = now + admission.objective_s(owner.run_times, record)
+        for run in record.crashed_runs:
+            key = (job_id, run.step, run.index)
+            owner.crash_history.record(key, run.life, run.is_suspect, run.is_certain)
         is_old = record.accepted_epoch < shard.epoch
         for step in job.tasks:
             for task in step:
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -5,17 +5,19 @@
 from . import besteffort, workers
 from .commands import SendMessage
 from .job_requests import acknowledge_cancel
-from .jobs import JobState, RunEnd, TaskStatus
+from .jobs import CrashedRun, JobState, RunEnd, TaskStatus
 from .owner import (
     RUN_NUMBERS_PER_EPOCH,
     count_failure,
     defer_acknowledgement,
     granted_shards,
     log,
+    record_progress,
     release_capacity,
     send_acknowledgements,
     send_stop,
     stop_run,
+    store_job,
 )
 from .pending import dequeue_task, enqueue_ready_steps
 from .runs import (
@@ -50,6 +52,8 @@
             progress_reported(owner, agent_id, message, now)
         case wire.RoomReport():
             foreign_usage_reported(owner, agent_id, message)
+        case wire.WorkerCrashed():
+            worker_crashed(owner, agent_id, message)
         case wire.WorkerChanged():
             worker_changed(owner, agent_id, message.worker, now)
 
@@ -104,6 +108,54 @@
     )
 
 
+def worker_crashed(owner, agent_id, report):
+    """Hold the crash of a worker against the tasks that it had runs of.
+
+    The crashes under tasks of durable jobs are stored for a later owner. Those under
+    tasks that this entry does not own count if they are submitted or taken over later.
+    """
+    new_tasks = [
+        task
+        for task in report.tasks
+        if owner.crash_history.record(
+            (task.job, task.step, task.index),
+            report.life,
+            task.is_suspect,
+            task.is_certain,
+        )
+    ]
+    if not new_tasks:
+        return
+    log(
+        owner,
+        "crash.reported",
+        agent=agent_id,
+        life=report.life,
+        tasks=len(report.tasks),
+        suspects=sum(task.is_suspect for task in report.tasks),
+    )
+    changed_jobs = {}
+    for row in new_tasks:
+        job = _find_durable_job(owner, row.job)
+        if job is None or job.task(row.step, row.index) is None:
+            continue
+        job.record.crashed_runs.append(
+            CrashedRun(row.step, row.index, report.life, row.is_suspect, row.is_certain)
+        )
+        changed_jobs[job.id] = job
+    for job in changed_jobs.values():
+        if job.is_active:
+            record_progress(job)
+            store_job(owner, job, None)
+
+
+def _find_durable_job(owner, job_id):
+    for shard in owner.shards.values():
+        if shard.is_durable and job_id in shard.jobs:
+            return shard.jobs[job_id]
+    return None
+
+
 def grant_request_received(owner, agent_id, sequence, now):
     """Confirm the ownership of the shards to an agent."""
     view = owner.agents.get(agent_id)
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -91,6 +91,8 @@
             ]
         started_tasks = []
         for task in list(owner.waiting.tasks(job)):
+            if fail_if_out_of_attempts(owner, task, now):
+                break
             agent = workers.choose_agent_from_sample(
                 candidates[shard.number], task, now, owner.rng
             )
@@ -199,10 +201,26 @@
 
 
 def fail_if_out_of_attempts(owner, task, now):
-    """Fail the job if the task has no attempts left; return whether it failed."""
+    """Fail the job if the task must not start again; return whether it failed.
+
+    It must not after its last attempt has failed, or if it crashes its workers.
+    """
     job = task.job
-    if task.failures < job.record.attempts or job.state is not JobState.ACTIVE:
+    if job.state is not JobState.ACTIVE:
         return False
+    is_hopeless = owner.crash_history.is_hopeless(task.key)
+    if task.failures < job.record.attempts and not is_hopeless:
+        return False
+    if is_hopeless:
+        owner.count("given_up_after_crashes")
+        log(
+            owner,
+            "task.given_up",
+            job=job.id,
+            task=f"{task.step}.{task.index}",
+            crashes=owner.crash_history.crash_count(task.key),
+            suspected=owner.crash_history.suspected_count(task.key),
+        )
     for step in job.tasks:
         for other in step:
             if other.status is TaskStatus.WAITING:
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -1,7 +1,23 @@
-"""What the agent observes when its worker crashes."""
+"""What the agent observes and reports when its worker crashes.
 
-from .worker_runs import log
+A task may crash each worker that starts it. No single owner can tell: a best-effort job
+is submitted again to another entry, and the shard of a durable job may have a new owner
+after each crash. Every entry therefore learns from the agent which tasks had a run on
+the worker, and which of these had just started.
+"""
 
+from turmericknot.wire.shard_messages import CrashedTask, WorkerCrashed
+
+from .worker_types import AgentLogLine, SendToEntries
+
+# A task that crashes its worker does so when it starts. A run that has been at work for
+# this long while the worker still answered is no suspect.
+SUSPECT_AGE_S = 0.1
+# Crashes are reported to entries that connect within this time.
+CRASH_RETENTION_S = 60.0
+MAX_RECENT_CRASHES = 16
+# Tasks in one report; a worker of the users has 64 connections.
+MAX_REPORTED_TASKS = 200
 # Runs in one log line.
 MAX_LOGGED_RUNS = 40
 
@@ -14,33 +30,93 @@
     if state.life is None or state.unreachable_since is not None:
         return
     state.unreachable_since = now
-    log(
+    _log(
         state,
         "worker.unreachable",
         life=state.life.key,
-        runs=_describe_runs(state.runs.values(), now),
+        runs=_describe_runs(_started_runs(state), now),
     )
 
 
 def worker_answered(state, now):
     """Handle any answer of the worker."""
+    state.answered_at = now
     if state.unreachable_since is None:
         return
     seconds = now - state.unreachable_since
     state.unreachable_since = None
     life = state.life.key if state.life is not None else ""
-    log(state, "worker.reachable", life=life, seconds=round(seconds, 3))
+    _log(state, "worker.reachable", life=life, seconds=round(seconds, 3))
+
+
+def report_crash(state, now):
+    """Report to all entries that the present incarnation of the worker has crashed.
+
+    Must be called before its runs are reported as lost.
+    """
+    runs = _started_runs(state)[:MAX_REPORTED_TASKS]
+    if not runs:
+        return
+    suspects = _find_suspects(state, runs)
+    rows = []
+    for run in runs:
+        # A start whose answer was lost may have never arrived. If nothing else can
+        # have crashed the worker, it has.
+        is_certain = run.is_confirmed or suspects == [run]
+        name = run.name
+        rows.append(
+            CrashedTask(name.job, name.step, name.index, run in suspects, is_certain)
+        )
+    message = WorkerCrashed(state.life.key, rows)
+    state.recent_crashes.append((now, message))
+    if len(state.recent_crashes) > MAX_RECENT_CRASHES:
+        state.recent_crashes.popleft()
+    state.commands.append(SendToEntries(message))
+    _log(
+        state,
+        "worker.crashed",
+        life=state.life.key,
+        runs=len(runs),
+        suspects=_describe_runs(suspects, now),
+    )
+
+
+def recent_crash_reports(state, now):
+    """Return the WorkerCrashed messages for an entry that has just connected."""
+    crashes = state.recent_crashes
+    while crashes and now - crashes[0][0] > CRASH_RETENTION_S:
+        crashes.popleft()
+    return [message for _, message in crashes]
+
+
+def _started_runs(state):
+    """Return the runs that the worker has or may have, the newest first."""
+    started = [run for run in state.runs.values() if run.pending_start is None]
+    started.sort(key=lambda run: -run.start_sent_at)
+    return started
+
+
+def _find_suspects(state, runs):
+    """Return the runs that may have crashed the worker.
+
+    The worker was alive when it last answered; runs that were older than
+    ``SUSPECT_AGE_S`` then are innocent, unless there are no others.
+    """
+    started_after = state.answered_at - SUSPECT_AGE_S
+    return [run for run in runs if run.start_sent_at >= started_after] or runs
 
 
 def _describe_runs(runs, now):
-    """Return ``job/step.index:run@age`` of the started runs, the newest first.
+    """Return ``job/step.index:run@age`` of the runs.
 
     The age is the time since the start call, in milliseconds.
     """
-    started = [run for run in runs if run.pending_start is None]
-    started.sort(key=lambda run: -run.start_sent_at)
     return ",".join(
         f"{run.name.job}/{run.name.step}.{run.name.index}:{run.name.run}"
         f"@{round((now - run.start_sent_at) * 1000)}"
-        for run in started[:MAX_LOGGED_RUNS]
+        for run in runs[:MAX_LOGGED_RUNS]
     )
+
+
+def _log(state, event, **fields):
+    state.commands.append(AgentLogLine(event, fields))
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -4,9 +4,12 @@
 ``worker_lists`` and ``worker_pace``.
 """
 
+from collections import deque
+
 from turmericknot.core.ids import shard_of_job
 from turmericknot.wire.shard_messages import EndedRun, RunsEnded, WorkerReport
 
+from . import worker_crashes
 from .jobs import RunEnd
 from .worker_types import AgentLogLine, SendToOwner, StopCall
 
@@ -54,6 +57,8 @@
         "has_report",
         "recalled_until",
         "unreachable_since",
+        "answered_at",
+        "recent_crashes",
         "commands",
     )
 
@@ -88,6 +93,8 @@
         self.recalled_until = 0.0  # how long a recalled worker may be used
         # When the worker first did not accept a connection; None once it answers.
         self.unreachable_since = None
+        self.answered_at = now  # when the worker last answered a call
+        self.recent_crashes = deque()  # (time, WorkerCrashed), the oldest first
         self.commands = []
 
     @property
@@ -211,6 +218,8 @@
     if previous is not None and life.born < previous.born:
         return False  # a delayed report of an earlier incarnation
     state.has_report = True
+    if previous is not None and previous.usable:
+        worker_crashes.report_crash(state, now)
     _end_life(state, "worker restarted", life.id)
     state.life = life
     raise_fence(state, now)
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -122,6 +122,13 @@
     message: object
 
 
+@dataclass(slots=True)
+class SendToEntries:
+    """Send a WorkerCrashed message to all connected entries."""
+
+    message: object
+
+
 @dataclass(slots=True)
 class AgentLogLine:
     """Write a log line."""
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -195,6 +195,31 @@
     runs: list[RunProgress]
 
 
+class CrashedTask(msgspec.Struct, array_like=True, frozen=True):
+    """A task that had a run on a worker when it crashed.
+
+    ``is_suspect``: its run had just started, so it may have crashed the worker.
+    ``is_certain``: the run had certainly started.
+    """
+
+    job: str
+    step: int
+    index: int
+    is_suspect: bool
+    is_certain: bool
+
+
+class WorkerCrashed(Message, tag=80):
+    """Report a crash of the worker to every entry, the owners of its runs or not.
+
+    ``life`` is the incarnation that crashed. The message precedes the ends of the runs
+    that it reports, and is repeated on new streams for some time.
+    """
+
+    life: str
+    tasks: list[CrashedTask]
+
+
 class PeerGreeting(Message, tag=70):
     """First message of an entry to the owner of a shard."""
 
@@ -277,4 +302,5 @@
     | PeerStatus
     | RoomReport
     | RunsProgress
+    | WorkerCrashed
 )
