Stop using a worker that accepts no connection

Cause: the agent offered its worker until the next process reported, and ended runs only then. That holds for every crash, not just for those that a task has caused.

Change: a connection that the worker does not accept makes it unusable until it answers. A renewal that was certainly not sent does not extend the lease, and when the lease has lapsed, the runs are reported as lost: they have ended, whether the worker has crashed or is cut off. Such a crash is unconfirmed until the next process reports, and withdrawn if the same one answers again; a task whose second crash is unconfirmed waits for it.

--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -100,6 +100,7 @@
         self.sequence = 0
         self.start_calls = []
         self.stop_calls = []
+        self.has_changed = False  # whether to report the worker to the entries
         self.unsent_messages = []  # (stream, message)
         self.executes_calls = True  # whether calls to the worker take effect at once
         self.deadly_tasks = set()  # (job, step, index) that crash the worker
@@ -167,14 +168,15 @@
         if call is None:
             return None
         if self.down_until is not None:
-            worker_crashes.worker_unreachable(self.state, now)
+            self.has_changed = worker_crashes.worker_unreachable(self.state, now)
+            worker_lists.lease_renewal_not_sent(self.state, call)
             return call
         ends = [end for end in self.worker.ends if end.number > call.last_seen]
         running = [
             ListedRun(name, min(99, int((now - started_at) / FULL_RUN_S * 100)))
             for name, started_at in self.worker.running.items()
         ]
-        worker_crashes.worker_answered(self.state, now)
+        self.has_changed = worker_crashes.worker_answered(self.state, now)
         result = LeaseRenewalResult(int(now * 1000), call.life.born, running, ends)
         worker_lists.lease_renewal_answered(self.state, call, result, now)
         return call
@@ -186,7 +188,9 @@
             if isinstance(command, StartCall):
                 self.start_calls.append(command)
                 if self.down_until is not None:
-                    worker_crashes.worker_unreachable(self.state, now)
+                    self.has_changed = worker_crashes.worker_unreachable(
+                        self.state, now
+                    )
                     worker_starts.start_refused(self.state, command.name, "unreachable")
                 elif self.executes_calls:
                     self.worker.running[command.name] = now
@@ -315,6 +319,9 @@
                     self.send_worker_report(agent)
                 worker_leases.check_grants(agent.state, self.now)
                 agent.renew_lease(self.now)
+                if agent.has_changed:
+                    agent.has_changed = False
+                    self.send_worker_report(agent)
             self.deliver_all()
             for entry in self.entries.values():
                 runs.tick(entry.owner, self.now)
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -124,7 +124,7 @@
     agent.crash(deadly_site.now)
     deadly_site.advance(4.0)
     assert agent.born == 2
-    assert not entry.owner.crash_history.crash_count(DEADLY_TASK)
+    assert not entry.owner.crash_history.count(DEADLY_TASK)
 
 
 def test_run_that_was_at_work_for_long_is_no_suspect(deadly_site):
@@ -140,9 +140,9 @@
     while not agent.crashes or running_crash(deadly_site):
         deadly_site.advance(0.05)
     history = entry.owner.crash_history
-    assert history.suspected_count(DEADLY_TASK) == 1
-    assert history.crash_count((beside, 0, 0)) == 1
-    assert history.suspected_count((beside, 0, 0)) == 0
+    assert history.count_suspected(DEADLY_TASK) == 1
+    assert history.count((beside, 0, 0)) == 1
+    assert history.count_suspected((beside, 0, 0)) == 0
 
 
 def test_start_that_may_not_have_arrived_counts_with_no_other_suspect(deadly_site):
@@ -160,4 +160,80 @@
     deadly_site.advance(4.0)
     history = entry.owner.crash_history
     assert history.is_suspect(DEADLY_TASK)
-    assert history.crash_count(DEADLY_TASK) == 0
+    assert history.count(DEADLY_TASK) == 0
+
+
+def test_tasks_beside_a_deadly_one_start_again_when_the_lease_has_lapsed(deadly_site):
+    """Their callers wait for 1.5 s, and a worker needs 3 s to come back."""
+    entry = deadly_site.entries["entry-0"]
+    beside = "00000000000000b2"
+    job_record = create_job_record(tasks=8)
+    entry.submit_best_effort("caller", deadly_site.now, wait=60)
+    entry.submit_best_effort(
+        "beside", deadly_site.now, job=beside, job_record=job_record, wait=60
+    )
+    deadly_site.advance(0.1)
+    [crashed] = [agent for agent in deadly_site.agents.values() if agent.crashes]
+    lost = {name.index for name in crashed.crashes[0][1] if name.job == beside}
+    assert lost
+    deadly_site.advance(0.8)
+    assert not second_starts(deadly_site, beside)
+    deadly_site.advance(0.2)
+    assert second_starts(deadly_site, beside) == lost
+
+
+def second_starts(site, job):
+    """Return the indices of the tasks of a job that have started a second time."""
+    return {
+        name.index
+        for agent in site.agents.values()
+        for name in agent.worker.started
+        if name.job == job and name.run == 2
+    }
+
+
+def test_worker_that_accepts_no_connection_gets_no_run(deadly_site):
+    """An empty worker attracts starts; a crashed one must not look empty."""
+    entry = deadly_site.entries["entry-0"]
+    crashed = deadly_site.agents["agent-0"]
+    crashed.crash(deadly_site.now)
+    deadly_site.advance(0.1)
+    calls_before = len(crashed.start_calls)
+    for number in range(10):
+        entry.submit_best_effort("caller", deadly_site.now, job=f"{number:016x}")
+        deadly_site.advance(0.1)
+    assert len(crashed.start_calls) == calls_before
+    deadly_site.advance(2.5)
+    entry.submit_best_effort("later", deadly_site.now, job="f" * 16)
+    deadly_site.advance(0.1)
+    assert len(crashed.start_calls) > calls_before
+
+
+def test_crash_is_withdrawn_when_the_same_process_answers_again(deadly_site):
+    """A worker that was cut off has not crashed under its tasks."""
+    entry = deadly_site.entries["entry-0"]
+    agent = deadly_site.agents["agent-0"]
+    agent.deadly_tasks.clear()
+    for other in list(deadly_site.agents.values())[1:]:
+        deadly_site.disconnect(entry, other)
+    entry.submit_best_effort("caller", deadly_site.now, wait=60)
+    deadly_site.advance(0.1)
+    agent.crash(deadly_site.now, down_s=60)
+    deadly_site.advance(1.5)
+    history = entry.owner.crash_history
+    assert history.is_suspect(DEADLY_TASK)
+    assert history.count(DEADLY_TASK) == 0
+    agent.down_until = None
+    deadly_site.advance(0.5)
+    assert not history.is_suspect(DEADLY_TASK)
+    assert len(deadly_site.running()) == 2
+
+
+def test_task_waits_for_the_confirmation_of_its_second_crash(deadly_site):
+    """Without it, two more workers crash before the first two are back."""
+    entry = deadly_site.entries["entry-0"]
+    job_record = create_job_record(tasks=1)
+    entry.submit_best_effort("caller", deadly_site.now, job_record=job_record, wait=60)
+    deadly_site.advance(10.0)
+    assert crashes_under(deadly_site, DEADLY_TASK) == 2
+    assert entry.answers == [("caller", Outcome.FAILED)]
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -249,9 +249,8 @@
             worker_starts.start_unanswered(self._runs, call.name, steady_time())
             self._renew_now.set()
         else:
-            now = steady_time()
-            worker_crashes.worker_answered(self._runs, now)
-            worker_starts.start_confirmed(self._runs, call.name, now)
+            self._record_answer()
+            worker_starts.start_confirmed(self._runs, call.name, steady_time())
         self._execute_commands()
 
     def _may_send(self, call):
@@ -343,6 +342,9 @@
         except WorkerRefused as error:
             self._log.warning("hold.refused", reason=error.reason)
             self._record_refusal(error)
+            if error.reason == "unreachable":
+                worker_lists.lease_renewal_not_sent(self._runs, call)
+                self._execute_commands()
             if error.reason == "fence":
                 worker_runs.fence_refused(self._runs, steady_time())
             return RENEWAL_RETRY_DELAY_S
@@ -355,7 +357,7 @@
             await asyncio.sleep(max(0.0, LOST_RENEWAL_INTERVAL_S - elapsed_s))
             return 0.0
         self._is_renewal_lost = False
-        worker_crashes.worker_answered(self._runs, steady_time())
+        self._record_answer()
         flags_before = self._runs.is_synced, self._runs.is_outdated
         worker_lists.lease_renewal_answered(self._runs, call, result, steady_time())
         if self._runs.needs_inherited_shards and self._inherited_shards_task is None:
@@ -368,11 +370,20 @@
         return 0.0
 
     def _record_refusal(self, error):
-        """Record whether the worker itself has refused a call or could not get it."""
-        if error.reason == "unreachable":
-            worker_crashes.worker_unreachable(self._runs, steady_time())
+        """Record whether the worker itself has refused a call or could not get it.
+
+        A later incarnation refuses calls that are meant for the one that is gone.
+        """
+        if error.reason in ("unreachable", "restarted"):
+            if worker_crashes.worker_unreachable(self._runs, steady_time()):
+                self._entries.send_worker_report()
+                worker_starts.start_queued_runs(self._runs, steady_time())
         elif error.reason != "no_grant":
-            worker_crashes.worker_answered(self._runs, steady_time())
+            self._record_answer()
+
+    def _record_answer(self):
+        if worker_crashes.worker_answered(self._runs, steady_time()):
+            self._entries.send_worker_report()
 
     async def _load_inherited_shards(self):
         """Load the shards with runs that earlier processes of this agent started."""
--- a/turmericknot/scheduling/crash_history.py
+++ b/turmericknot/scheduling/crash_history.py
@@ -1,6 +1,7 @@
 """The crashes of workers under each task, as an entry knows them."""
 
 from collections import OrderedDict
+from typing import NamedTuple
 
 # A task that may have crashed this many workers is given up.
 MAX_SUSPECTED_CRASHES = 2
@@ -9,61 +10,85 @@
 MAX_CRASHES = 3
 # The same if it is not certain that the task had started there.
 MAX_POSSIBLE_CRASHES = 4
+# How long to wait for the next process of a worker, which confirms the crash. The
+# workers of the users are back after three to five seconds.
+CONFIRMATION_TIMEOUT_S = 8.0
 # Tasks in the history; the tasks whose workers crashed longest ago are dropped first.
 MAX_TASKS = 10_000
 
 
+class Crash(NamedTuple):
+    """A crash of a worker that had a run of a task, or may have had one."""
+
+    is_suspect: bool  # the run had just started, so it may have crashed the worker
+    has_started: bool  # False: it may have never reached the worker
+    is_confirmed: bool  # False: the worker may be cut off
+    reported_at: float = 0.0
+
+
 class CrashHistory:
     """Incarnations of workers that crashed while they had a run of a task."""
 
-    __slots__ = ("_lives",)
+    __slots__ = ("_crashes",)
 
     def __init__(self):
-        # task key -> {life of a worker: (is suspect, is certain)}
-        self._lives = OrderedDict()
+        self._crashes = OrderedDict()  # task key -> {life of a worker: Crash}
 
     def __len__(self):
-        return len(self._lives)
-
-    def record(self, task_key, life, is_suspect, is_certain):
-        """Record a crash under a task; return whether it was not known before.
-
-        ``is_suspect``: the task may have crashed the worker. ``is_certain``: it had
-        certainly started there.
-        """
-        lives = self._lives.setdefault(task_key, {})
-        self._lives.move_to_end(task_key)
-        if len(self._lives) > MAX_TASKS:
-            self._lives.popitem(last=False)
-        is_new = life not in lives
-        lives[life] = (is_suspect, is_certain)
-        return is_new
-
-    def crash_count(self, task_key):
+        return len(self._crashes)
+
+    def record(self, task_key, life, crash):
+        """Record a crash under a task; return whether that was not known before."""
+        crashes = self._crashes.setdefault(task_key, {})
+        self._crashes.move_to_end(task_key)
+        if len(self._crashes) > MAX_TASKS:
+            self._crashes.popitem(last=False)
+        known = crashes.get(life)
+        crashes[life] = crash
+        return known is None or known[:3] != crash[:3]
+
+    def withdraw(self, task_key, life):
+        """Remove a crash that has not happened; return whether it was known."""
+        return self._crashes.get(task_key, {}).pop(life, None) is not None
+
+    def count(self, task_key):
         """Return the number of workers that certainly crashed under a task."""
-        lives = self._lives.get(task_key, {})
-        return sum(is_certain for _, is_certain in lives.values())
+        return len(self._certain(task_key))
 
-    def suspected_count(self, task_key):
+    def count_suspected(self, task_key):
         """Return the number of these that the task may have crashed."""
-        lives = self._lives.get(task_key, {})
-        return sum(
-            is_suspect and is_certain for is_suspect, is_certain in lives.values()
-        )
+        return sum(crash.is_suspect for crash in self._certain(task_key))
 
     def is_suspect(self, task_key):
         """Return whether the task may have crashed a worker."""
-        lives = self._lives.get(task_key, {})
-        return any(is_suspect for is_suspect, _ in lives.values())
+        crashes = self._crashes.get(task_key, {})
+        return any(crash.is_suspect for crash in crashes.values())
 
     def is_hopeless(self, task_key):
         """Return whether no other worker may be risked for the task."""
-        return (
-            self.suspected_count(task_key) >= MAX_SUSPECTED_CRASHES
-            or self.crash_count(task_key) >= MAX_CRASHES
-            or len(self._lives.get(task_key, ())) >= MAX_POSSIBLE_CRASHES
+        crashes = self._crashes.get(task_key, ())
+        return _is_limit_reached(self._certain(task_key)) or (
+            len(crashes) >= MAX_POSSIBLE_CRASHES
         )
 
+    def is_undecided(self, task_key, now):
+        """Return whether the task is hopeless once its latest crashes are confirmed."""
+        crashes = self._crashes.get(task_key)
+        if not crashes:
+            return False
+        if now - max(c.reported_at for c in crashes.values()) > CONFIRMATION_TIMEOUT_S:
+            return False
+        return _is_limit_reached([c for c in crashes.values() if c.has_started])
+
+    def _certain(self, task_key):
+        crashes = self._crashes.get(task_key, {})
+        return [c for c in crashes.values() if c.has_started and c.is_confirmed]
+
+
+def _is_limit_reached(crashes):
+    suspected = sum(crash.is_suspect for crash in crashes)
+    return suspected >= MAX_SUSPECTED_CRASHES or len(crashes) >= MAX_CRASHES
+
 
 def create_crash_history():
     """Return a history without crashes."""
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -60,7 +60,8 @@
     index: int
     life: str
     is_suspect: bool  # the task may have crashed the worker
-    is_certain: bool  # the run had certainly started
+    has_started: bool  # False: the run may have never reached the worker
+    is_confirmed: bool  # False: the worker may have been cut off
 
 
 class JobRecord(msgspec.Struct, array_like=True):
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -12,6 +12,7 @@
 
 from . import admission
 from .commands import Outcome, SendMessage
+from .crash_history import Crash
 from .jobs import (
     JobState,
     TaskStatus,
@@ -75,7 +76,8 @@
         job.due_at = now + admission.objective_s(owner.run_times, record)
         for run in record.crashed_runs:
             key = (job_id, run.step, run.index)
-            owner.crash_history.record(key, run.life, run.is_suspect, run.is_certain)
+            crash = Crash(run.is_suspect, run.has_started, run.is_confirmed, now)
+            owner.crash_history.record(key, run.life, crash)
         is_old = record.accepted_epoch < shard.epoch
         for step in job.tasks:
             for task in step:
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -4,6 +4,7 @@
 
 from . import besteffort, workers
 from .commands import SendMessage
+from .crash_history import Crash
 from .job_requests import acknowledge_cancel
 from .jobs import CrashedRun, JobState, RunEnd, TaskStatus
 from .owner import (
@@ -53,7 +54,7 @@
         case wire.RoomReport():
             foreign_usage_reported(owner, agent_id, message)
         case wire.WorkerCrashed():
-            worker_crashed(owner, agent_id, message)
+            worker_crashed(owner, agent_id, message, now)
         case wire.WorkerChanged():
             worker_changed(owner, agent_id, message.worker, now)
 
@@ -108,47 +109,58 @@
     )
 
 
-def worker_crashed(owner, agent_id, report):
+def worker_crashed(owner, agent_id, report, now):
     """Hold the crash of a worker against the tasks that it had runs of.
 
     The crashes under tasks of durable jobs are stored for a later owner. Those under
     tasks that this entry does not own count if they are submitted or taken over later.
     """
-    new_tasks = [
-        task
-        for task in report.tasks
-        if owner.crash_history.record(
-            (task.job, task.step, task.index),
-            report.life,
-            task.is_suspect,
-            task.is_certain,
-        )
+    changed_tasks = [
+        task for task in report.tasks if _record_crash(owner, report, task, now)
     ]
-    if not new_tasks:
+    if not changed_tasks:
         return
     log(
         owner,
         "crash.reported",
         agent=agent_id,
         life=report.life,
+        confirmed=report.is_confirmed,
+        withdrawn=report.is_withdrawn,
         tasks=len(report.tasks),
         suspects=sum(task.is_suspect for task in report.tasks),
     )
     changed_jobs = {}
-    for row in new_tasks:
-        job = _find_durable_job(owner, row.job)
-        if job is None or job.task(row.step, row.index) is None:
-            continue
-        job.record.crashed_runs.append(
-            CrashedRun(row.step, row.index, report.life, row.is_suspect, row.is_certain)
-        )
-        changed_jobs[job.id] = job
+    for task in changed_tasks:
+        job = _find_durable_job(owner, task.job)
+        if job is not None and job.task(task.step, task.index) is not None:
+            _record_crashed_run(job, report, task)
+            changed_jobs[job.id] = job
     for job in changed_jobs.values():
         if job.is_active:
             record_progress(job)
             store_job(owner, job, None)
 
 
+def _record_crash(owner, report, task, now):
+    key = (task.job, task.step, task.index)
+    if report.is_withdrawn:
+        return owner.crash_history.withdraw(key, report.life)
+    crash = Crash(task.is_suspect, task.has_started, report.is_confirmed, now)
+    return owner.crash_history.record(key, report.life, crash)
+
+
+def _record_crashed_run(job, report, task):
+    """Update the crashes under a task in the record of its job."""
+    key = (task.step, task.index, report.life)
+    job.record.crashed_runs = [
+        run for run in job.record.crashed_runs if (run.step, run.index, run.life) != key
+    ]
+    if not report.is_withdrawn:
+        run = CrashedRun(*key, task.is_suspect, task.has_started, report.is_confirmed)
+        job.record.crashed_runs.append(run)
+
+
 def _find_durable_job(owner, job_id):
     for shard in owner.shards.values():
         if shard.is_durable and job_id in shard.jobs:
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -93,6 +93,8 @@
         for task in list(owner.waiting.tasks(job)):
             if fail_if_out_of_attempts(owner, task, now):
                 break
+            if owner.crash_history.is_undecided(task.key, now):
+                continue
             agent = workers.choose_agent_from_sample(
                 candidates[shard.number], task, now, owner.rng
             )
@@ -218,8 +220,8 @@
             "task.given_up",
             job=job.id,
             task=f"{task.step}.{task.index}",
-            crashes=owner.crash_history.crash_count(task.key),
-            suspected=owner.crash_history.suspected_count(task.key),
+            crashes=owner.crash_history.count(task.key),
+            suspected=owner.crash_history.count_suspected(task.key),
         )
     for step in job.tasks:
         for other in step:
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -6,6 +6,8 @@
 the worker, and which of these had just started.
 """
 
+import msgspec
+
 from turmericknot.wire.shard_messages import CrashedTask, WorkerCrashed
 
 from .worker_types import AgentLogLine, SendToEntries
@@ -25,10 +27,12 @@
 def worker_unreachable(state, now):
     """Handle a connection that the worker, on the same VM, did not accept.
 
-    Nothing listens at its address: the process has crashed, or is just starting.
+    The process has crashed, is just starting, or is cut off. Until it answers, nothing
+    starts there: a worker without runs would look like the best choice to every owner.
+    Return whether to notify the owners.
     """
     if state.life is None or state.unreachable_since is not None:
-        return
+        return False
     state.unreachable_since = now
     _log(
         state,
@@ -36,23 +40,26 @@
         life=state.life.key,
         runs=_describe_runs(_started_runs(state), now),
     )
+    return True
 
 
 def worker_answered(state, now):
-    """Handle any answer of the worker."""
+    """Handle any answer of the worker; return whether to notify the owners."""
     state.answered_at = now
-    if state.unreachable_since is None:
-        return
+    if state.unreachable_since is None or state.life is None:
+        return False
     seconds = now - state.unreachable_since
     state.unreachable_since = None
-    life = state.life.key if state.life is not None else ""
-    _log(state, "worker.reachable", life=life, seconds=round(seconds, 3))
+    _log(state, "worker.reachable", life=state.life.key, seconds=round(seconds, 3))
+    _withdraw_crash(state, now)
+    return True
 
 
-def report_crash(state, now):
+def report_crash(state, now, is_confirmed=True):
     """Report to all entries that the present incarnation of the worker has crashed.
 
-    Must be called before its runs are reported as lost.
+    Must be called before its runs are reported as lost. ``is_confirmed``: a later
+    incarnation has reported.
     """
     runs = _started_runs(state)[:MAX_REPORTED_TASKS]
     if not runs:
@@ -62,31 +69,45 @@
     for run in runs:
         # A start whose answer was lost may have never arrived. If nothing else can
         # have crashed the worker, it has.
-        is_certain = run.is_confirmed or suspects == [run]
+        has_started = run.is_confirmed or suspects == [run]
         name = run.name
         rows.append(
-            CrashedTask(name.job, name.step, name.index, run in suspects, is_certain)
+            CrashedTask(name.job, name.step, name.index, run in suspects, has_started)
         )
-    message = WorkerCrashed(state.life.key, rows)
-    state.recent_crashes.append((now, message))
-    if len(state.recent_crashes) > MAX_RECENT_CRASHES:
-        state.recent_crashes.popleft()
-    state.commands.append(SendToEntries(message))
+    _report(state, WorkerCrashed(state.life.key, rows, is_confirmed), now)
     _log(
         state,
         "worker.crashed",
         life=state.life.key,
+        confirmed=is_confirmed,
         runs=len(runs),
         suspects=_describe_runs(suspects, now),
     )
 
 
+def _withdraw_crash(state, now):
+    """Clear all tasks of a crash that has not happened: the worker was cut off."""
+    _, crash = state.recent_crashes.get(state.life.key, (0.0, None))
+    if crash is None:
+        return
+    withdrawal = msgspec.structs.replace(crash, is_withdrawn=True)
+    _report(state, withdrawal, now)
+
+
+def _report(state, message, now):
+    state.recent_crashes[message.life] = (now, message)
+    if len(state.recent_crashes) > MAX_RECENT_CRASHES:
+        state.recent_crashes.popitem(last=False)
+    state.commands.append(SendToEntries(message))
+
+
 def recent_crash_reports(state, now):
     """Return the WorkerCrashed messages for an entry that has just connected."""
-    crashes = state.recent_crashes
-    while crashes and now - crashes[0][0] > CRASH_RETENTION_S:
-        crashes.popleft()
-    return [message for _, message in crashes]
+    return [
+        message
+        for reported_at, message in state.recent_crashes.values()
+        if now - reported_at <= CRASH_RETENTION_S
+    ]
 
 
 def _started_runs(state):
--- a/turmericknot/scheduling/worker_leases.py
+++ b/turmericknot/scheduling/worker_leases.py
@@ -5,12 +5,15 @@
 knows when its runs on this worker have ended, whatever the agent does.
 """
 
-from turmericknot.wire.shard_messages import RunsEnded, ShardInventory
+from turmericknot.wire.shard_messages import EndedRun, RunsEnded, ShardInventory
 
+from .jobs import RunEnd
+from .worker_crashes import report_crash
 from .worker_runs import (
     LEASE_LAPSE_MARGIN_S,
     WORKER_CLOCK_ERROR_FACTOR,
     log,
+    report_end,
     stop_run,
     worker_clock,
 )
@@ -71,7 +74,11 @@
     if ends and state.life:
         message = RunsEnded(number, state.life.key, ends)
         state.commands.append(SendToOwner(shard_grant.stream, message))
-    names = [run.name for run in state.runs.values() if run.shard == number]
+    names = [
+        run.name
+        for run in state.runs.values()
+        if run.shard == number and not run.is_lapsed
+    ]
     message = ShardInventory(number, shard_grant.epoch, names)
     state.commands.append(SendToOwner(shard_grant.stream, message))
 
@@ -88,6 +95,8 @@
     if now > state.previous_lease_ends_at and not state.lease_until:
         _previous_lease_lapsed(state)
     lease_over = now > state.lease_until
+    if lease_over and state.unreachable_since is not None:
+        _end_unreachable_runs(state, now)
     for number, shard_grant in list(state.shards.items()):
         if (
             now < shard_grant.expires_at - GRANT_STOP_MARGIN_S
@@ -110,6 +119,25 @@
             _forget_owner(state, number)
 
 
+def _end_unreachable_runs(state, now):
+    """Report the runs of a worker that could not be reached until its lease lapsed.
+
+    They have ended, whether the worker has crashed or is cut off. Waiting for its next
+    process would cost their callers several seconds.
+    """
+    lapsed = [
+        run
+        for run in state.runs.values()
+        if run.pending_start is None and not run.is_lapsed
+    ]
+    if not lapsed:
+        return
+    report_crash(state, now, is_confirmed=False)
+    for run in lapsed:
+        run.is_lapsed = True
+        report_end(state, run.shard, EndedRun(run.name, 0, RunEnd.LOST))
+
+
 def _previous_lease_lapsed(state):
     """Stop waiting for the runs and ends of earlier agent processes.
 
@@ -184,7 +212,11 @@
 
 def _shards_needing_lease(state):
     """Return the shards with runs or with unacknowledged ends."""
-    shards = {run.shard for run in state.runs.values() if run.pending_start is None}
+    shards = {
+        run.shard
+        for run in state.runs.values()
+        if run.pending_start is None and not run.is_lapsed
+    }
     shards.discard(None)
     # Ends of best-effort jobs need no lease: no later owner needs them.
     for shard, _ in state.ends.values():
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -18,12 +18,30 @@
     if state.life is None:
         return None
     check_grants(state, now)
+    previous_lease_until = state.lease_until
     deadline_ms = lease_deadline_ms(state, now)
     # A number that the worker has received is not sent again: a new worker process
     # with the same id would drop ends of its own.
     is_new = state.last_seen > state.last_forgotten_end and not state.is_outdated
     last_seen = state.last_seen if is_new else 0
-    return LeaseRenewal(state.fence, last_seen, deadline_ms, state.life, now)
+    return LeaseRenewal(
+        state.fence,
+        last_seen,
+        deadline_ms,
+        state.life,
+        now,
+        previous_lease_until,
+        state.lease_until,
+    )
+
+
+def lease_renewal_not_sent(state, call):
+    """Handle a renewal that has certainly not reached the worker.
+
+    The lease ends as if it had not been attempted, unless another call extends it.
+    """
+    if state.lease_until == call.lease_until:
+        state.lease_until = call.previous_lease_until
 
 
 def lease_renewal_answered(state, call, result, now):
--- a/turmericknot/scheduling/worker_pace.py
+++ b/turmericknot/scheduling/worker_pace.py
@@ -52,7 +52,12 @@
 
 
 def report_progress(state, now):
-    """Report to the owners the runs that take longer than expected."""
+    """Report to the owners the runs that take longer than expected.
+
+    The progress of runs on a worker that cannot be reached is not known.
+    """
+    if state.unreachable_since is not None:
+        return
     pace = worker_pace(state, now)
     overdue = {}
     for run in state.runs.values():
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -4,7 +4,7 @@
 ``worker_lists`` and ``worker_pace``.
 """
 
-from collections import deque
+from collections import OrderedDict
 
 from turmericknot.core.ids import shard_of_job
 from turmericknot.wire.shard_messages import EndedRun, RunsEnded, WorkerReport
@@ -94,7 +94,7 @@
         # When the worker first did not accept a connection; None once it answers.
         self.unreachable_since = None
         self.answered_at = now  # when the worker last answered a call
-        self.recent_crashes = deque()  # (time, WorkerCrashed), the oldest first
+        self.recent_crashes = OrderedDict()  # life -> (time, WorkerCrashed)
         self.commands = []
 
     @property
@@ -155,7 +155,12 @@
     life = state.life
     if life is None or not state.is_synced:
         return None
-    usable = life.usable and not state.is_shutting_down and not state.is_outdated
+    usable = (
+        life.usable
+        and not state.is_shutting_down
+        and not state.is_outdated
+        and state.unreachable_since is None
+    )
     return WorkerReport(
         life.key,
         life.service,
@@ -248,6 +253,9 @@
         return
     log(state, "worker.ended", life=state.life.key, reason=reason)
     for name, run in list(state.runs.items()):
+        if run.is_lapsed:
+            del state.runs[name]  # reported when the lease lapsed
+            continue
         if next_id == state.life.id and run.pending_start is None and not run.is_listed:
             run.is_confirmed = False
             run.is_start_unanswered = True
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -68,7 +68,7 @@
         if run.has_waited_for_grant:
             run.has_waited_for_grant = False
             run.queued_at = now
-        if not state.life.usable or state.is_shutting_down or state.is_outdated:
+        if not is_worker_usable(state):
             start_refused(state, run.name, "no_worker")
         elif run.pending_start.priority <= waiting_priority and _has_capacity(
             state, run
@@ -138,6 +138,16 @@
     return max(0.0, ends_at - now)
 
 
+def is_worker_usable(state):
+    """Return whether the worker, of which a life is known, may get new runs."""
+    return (
+        state.life.usable
+        and not state.is_shutting_down
+        and not state.is_outdated
+        and state.unreachable_since is None
+    )
+
+
 def _has_capacity(state, run):
     cpu, memory, accelerators = run.cpu, run.memory, run.accelerators
     for other in state.runs.values():
@@ -173,9 +183,7 @@
     ):
         return "fenced"
     life = state.life
-    if life is None or life.key != request.life or not life.usable:
-        return "no_worker"
-    if state.is_shutting_down or state.is_outdated:
+    if life is None or life.key != request.life or not is_worker_usable(state):
         return "no_worker"
     queued = sum(1 for run in state.runs.values() if run.pending_start is not None)
     return "room" if queued >= MAX_QUEUED_RUNS else ""
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -77,6 +77,7 @@
     percent: int = 0
     progressed_at: float = 0.0  # when the percentage last changed
     is_stuck: bool = False
+    is_lapsed: bool = False  # ended with the lease of a worker that cannot be reached
 
 
 @dataclass(slots=True)
@@ -112,6 +113,8 @@
     deadline_ms: int | None
     life: WorkerLife
     sent_at: float
+    previous_lease_until: float = 0.0  # end of the lease that it extends
+    lease_until: float = 0.0  # end of the lease if the worker gets the call
 
 
 @dataclass(slots=True)
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -199,14 +199,14 @@
     """A task that had a run on a worker when it crashed.
 
     ``is_suspect``: its run had just started, so it may have crashed the worker.
-    ``is_certain``: the run had certainly started.
+    ``has_started``: the run had certainly started.
     """
 
     job: str
     step: int
     index: int
     is_suspect: bool
-    is_certain: bool
+    has_started: bool
 
 
 class WorkerCrashed(Message, tag=80):
@@ -214,10 +214,15 @@
 
     ``life`` is the incarnation that crashed. The message precedes the ends of the runs
     that it reports, and is repeated on new streams for some time.
+
+    ``is_confirmed``: a later incarnation of the worker has reported. Until then, the
+    worker may just be cut off; if it answers again, ``is_withdrawn`` is sent.
     """
 
     life: str
     tasks: list[CrashedTask]
+    is_confirmed: bool = True
+    is_withdrawn: bool = False
 
 
 class PeerGreeting(Message, tag=70):
