Play deadly tasks in the model

The trouble deadly gives a share of the jobs of a kind a task that crashes its workers; jobs with such a task are left out of the figures.

--- a/tests/model/test_experiment.py
+++ b/tests/model/test_experiment.py
@@ -70,6 +70,7 @@
         Trouble("failing", at_s=1.0, for_s=3.0, share=0.4),
         Trouble("lost_answers", at_s=1.0, for_s=3.0, share=0.3),
         Trouble("entry_loss", at_s=1.0, for_s=2.0, share=0.34),
+        Trouble("deadly", at_s=1.0, for_s=3.0, share=0.1),
     ],
 )
 def test_troubles_cost_jobs_while_they_last(create_experiment, trouble):
@@ -118,5 +119,5 @@
 
 
 def test_shipped_experiments_are_valid():
-    for name in ("lunch-wave", "lost-answers", "large-wave"):
+    for name in ("lunch-wave", "lost-answers", "large-wave", "deadly-tasks"):
         load_experiment(f"examples/experiments/{name}.toml")
--- a/turmericknot/model/agent.py
+++ b/turmericknot/model/agent.py
@@ -2,6 +2,7 @@
 
 from turmericknot.scheduling import (
     usage_reports,
+    worker_crashes,
     worker_leases,
     worker_lists,
     worker_pace,
@@ -23,6 +24,7 @@
 QUEUE_CHECK_INTERVAL_S = 0.03
 MAX_LEASE_S = 1.0
 ANSWER_TIMEOUT_S = 0.2  # of a start whose answer is lost
+REFUSED_RENEWAL_INTERVAL_S = 0.1  # while the worker accepts no connection
 
 
 class ModelAgent:
@@ -141,15 +143,52 @@
             # The raised fence keeps the worker from carrying it out later.
             self._clock.call_later(ANSWER_TIMEOUT_S, self._start_unanswered, call)
             return
+        if self.worker.is_down:
+            self._record_unreachable()
+            worker_starts.start_refused(self._state, call.name, "unreachable")
+            return
         run_s = site.duration_of(call.name)
         self._clock.call_later(site.call_delay_s, self.worker.start, call.name, run_s)
         self._clock.call_later(2 * site.call_delay_s, self._start_confirmed, call)
+        crash_delay_s = site.crash_delay_of(call.name)
+        if crash_delay_s is not None:
+            self._clock.call_later(
+                site.call_delay_s + crash_delay_s, self._crash_worker
+            )
 
     def _start_unanswered(self, call):
         worker_starts.start_unanswered(self._state, call.name, self._clock.now)
         self._renew()
 
+    def _crash_worker(self):
+        if self.worker.is_down:
+            return
+        self.worker.crash()
+        self._schedule_renewal()
+        self._clock.call_later(self._site.crashed_s, self._restart_worker)
+
+    def _restart_worker(self):
+        self.worker.restart()
+        worker_runs.worker_reported(
+            self._state, self.worker.describe(), self._clock.now
+        )
+        self._send_worker_report()
+        self._execute_commands()
+
+    def _record_unreachable(self):
+        if worker_crashes.worker_unreachable(self._state, self._clock.now):
+            self._send_worker_report()
+            worker_starts.start_queued_runs(self._state, self._clock.now)
+
+    def _send_worker_report(self):
+        message = wire.WorkerChanged(worker_runs.worker_report(self._state))
+        for entry in self._grant_requests:
+            self._site.send_to_entry(self.name, entry, message)
+
     def _start_confirmed(self, call):
+        if self.worker.is_down:
+            return
+        worker_crashes.worker_answered(self._state, self._clock.now)
         worker_starts.start_confirmed(self._state, call.name, self._clock.now)
 
     def _schedule_renewal(self):
@@ -162,7 +201,12 @@
         self._is_renewal_due = False
         now = self._clock.now
         call = worker_lists.next_lease_renewal(self._state, now)
-        if call is not None:
+        if call is not None and self.worker.is_down:
+            self._record_unreachable()
+            worker_lists.lease_renewal_not_sent(self._state, call)
+            self._clock.call_later(REFUSED_RENEWAL_INTERVAL_S, self._schedule_renewal)
+        elif call is not None:
+            worker_crashes.worker_answered(self._state, now)
             result = self.worker.answer_renewal(call)
             worker_lists.lease_renewal_answered(self._state, call, result, now)
         self._execute_commands()
--- a/turmericknot/model/description.py
+++ b/turmericknot/model/description.py
@@ -36,7 +36,9 @@
 
     ``slow``: tasks of these workers take ``factor`` times as long. ``failing``: each of
     their runs fails. ``lost_answers``: this share of all start calls gets no answer.
-    ``entry_loss``: these entries lose their state and are away.
+    ``entry_loss``: these entries lose their state and are away. ``deadly``: this share
+    of the jobs of ``job_kind`` has a task that crashes each worker that starts it; the
+    next process of the worker reports ``down_s`` later.
     """
 
     kind: str
@@ -44,6 +46,8 @@
     for_s: float
     share: float
     factor: float = 4.0
+    job_kind: str = ""  # empty: jobs of every kind
+    down_s: float = 3.0
 
 
 class Variant(msgspec.Struct, forbid_unknown_fields=True):
@@ -73,7 +77,7 @@
     seeds: tuple[int, ...] = (1,)
 
 
-TROUBLE_KINDS = ("slow", "failing", "lost_answers", "entry_loss")
+TROUBLE_KINDS = ("slow", "failing", "lost_answers", "entry_loss", "deadly")
 
 
 def load_experiment(path):
@@ -113,6 +117,12 @@
         if trouble.kind not in TROUBLE_KINDS:
             allowed = ", ".join(TROUBLE_KINDS)
             yield f"troubles.{number}.kind: found {trouble.kind!r}; allowed: {allowed}"
+        names = [kind.name for kind in experiment.kinds]
+        if trouble.job_kind and trouble.job_kind not in names:
+            yield (
+                f"troubles.{number}.job_kind: found {trouble.job_kind!r}; "
+                f"allowed: {', '.join(names)}"
+            )
         if not 0 <= trouble.share <= 1:
             yield f"troubles.{number}.share: found {trouble.share}; allowed: 0 to 1"
     if not experiment.seeds or not experiment.variants:
--- a/turmericknot/model/site.py
+++ b/turmericknot/model/site.py
@@ -19,12 +19,21 @@
 
 LEAD_S = 4.0  # before the first job: connections and grants
 TICK_INTERVAL_S = 0.1
+CRASH_DELAY_S = 0.01  # from the start of a deadly task to the crash of its worker
 
 
 class JobResult:
     """What a caller saw of one job."""
 
-    __slots__ = ("kind", "submitted_at", "objective_s", "outcome", "seconds")
+    __slots__ = (
+        "kind",
+        "submitted_at",
+        "objective_s",
+        "outcome",
+        "seconds",
+        "is_deadly",
+        "crashes",
+    )
 
     def __init__(self, kind, submitted_at, objective_s):
         self.kind = kind
@@ -32,6 +41,8 @@
         self.objective_s = objective_s
         self.outcome = None  # Outcome, or None: no answer
         self.seconds = math.inf
+        self.is_deadly = False  # whether a task of it crashes each worker
+        self.crashes = 0  # of workers, by that task
 
 
 class ModelEntry:
@@ -63,6 +74,9 @@
         "_entries_of_agent",
         "_durations",
         "_last_job",
+        "_deadly_rng",
+        "_deadly_trouble",
+        "_deadly_tasks",
     )
 
     def __init__(self, experiment, seed):
@@ -80,6 +94,10 @@
         self._entries_of_agent = {}  # name of an agent -> numbers of its entries
         self._durations = {}  # (job, step, index) -> seconds at speed 1
         self._last_job = 0
+        # Which jobs are deadly does not change the other jobs of the same seed.
+        self._deadly_rng = random.Random(f"deadly {seed}")
+        self._deadly_trouble = None
+        self._deadly_tasks = {}  # (job, step, index) -> JobResult
 
     def play(self):
         """Play the experiment to its end; return the results of all jobs."""
@@ -165,6 +183,19 @@
         """Return the seconds that a run takes on a worker of speed 1."""
         return self._durations[name.job, name.step, name.index]
 
+    def crash_delay_of(self, name):
+        """Return the seconds until a run crashes its worker, or None."""
+        result = self._deadly_tasks.get((name.job, name.step, name.index))
+        if result is None:
+            return None
+        result.crashes += 1
+        return CRASH_DELAY_S
+
+    @property
+    def crashed_s(self):
+        """Return the seconds from the crash of a worker to its next report."""
+        return self._deadly_trouble.down_s
+
     def _schedule_next_job(self, kind):
         """Draw the arrivals of a Poisson process whose rate follows the wave."""
         wave = self._experiment.wave
@@ -194,6 +225,9 @@
             longest_s = max(longest_s, run_s)
         result.objective_s = kind.stretch * longest_s + kind.objective_s
         entry = self._load_rng.choice(self._entries)
+        if self._is_deadly(kind):
+            result.is_deadly = True
+            self._deadly_tasks[job_id, 0, 0] = result
         if entry.owner is None:
             return  # no connection
         record = _create_record(kind)
@@ -204,6 +238,15 @@
         runs.schedule_tasks(entry.owner, now)
         self._execute_commands(entry)
 
+    def _is_deadly(self, kind):
+        trouble = self._deadly_trouble
+        if trouble is None or trouble.job_kind not in ("", kind.name):
+            return False
+        elapsed_s = self.clock.now - LEAD_S - trouble.at_s
+        return (
+            0 <= elapsed_s < trouble.for_s and self._deadly_rng.random() < trouble.share
+        )
+
     def _record_answer(self, command):
         result = command.waiter
         result.outcome = command.outcome
@@ -231,6 +274,8 @@
     def _begin_trouble(self, trouble):
         if trouble.kind == "entry_loss":
             self._lose_entries(trouble)
+        elif trouble.kind == "deadly":
+            self._deadly_trouble = trouble
         elif trouble.kind == "lost_answers":
             self.lost_answer_share = trouble.share
             self.clock.call_later(trouble.for_s, self._end_lost_answers)
--- a/turmericknot/model/summary.py
+++ b/turmericknot/model/summary.py
@@ -8,6 +8,8 @@
 
 def summarize(results, messages, experiment):
     """Return the figures of one run as a dict."""
+    crashes = sum(result.crashes for result in results)
+    results = [result for result in results if not result.is_deadly]
     by_kind = {}
     for result in results:
         by_kind.setdefault(result.kind, []).append(result)
@@ -17,6 +19,7 @@
     return {
         "in_time": _share(results, _is_in_time),
         "worst_window": _worst_window(results),
+        "crashes": crashes,
         "windows": _windows(results),
         "messages_per_task": sum(messages.values()) / max(tasks, 1),
         "refused_starts_per_task": messages.get("RunsRefused", 0) / max(tasks, 1),
--- a/turmericknot/model/worker.py
+++ b/turmericknot/model/worker.py
@@ -17,6 +17,8 @@
     __slots__ = (
         "slowdown",
         "is_failing",
+        "is_down",
+        "_born",
         "_clock",
         "_life_id",
         "_cpu",
@@ -29,6 +31,8 @@
     def __init__(self, clock, life_id, cpu, speed, on_end):
         self.slowdown = 1 / speed
         self.is_failing = False
+        self.is_down = False  # between a crash and the report of the next process
+        self._born = 1
         self._clock = clock
         self._life_id = life_id
         self._cpu = cpu
@@ -41,7 +45,17 @@
         """Return the WorkerLife that the worker reports."""
         now = self._clock.now
         return WorkerLife(
-            self._life_id, 1, "s", True, self._cpu, MEMORY_MB, 0, [], now, now, 1
+            self._life_id,
+            self._born,
+            "s",
+            True,
+            self._cpu,
+            MEMORY_MB,
+            0,
+            [],
+            now,
+            now,
+            1,
         )
 
     def start(self, name, run_s):
@@ -52,6 +66,18 @@
         how = RunEnd.FAILED if self.is_failing else RunEnd.DONE
         self._clock.call_later(duration_s, self._end, name, how)
 
+    def crash(self):
+        """End the process and all of its runs."""
+        self.is_down = True
+        self._running.clear()
+        self._ends.clear()
+        self._last_number = 0
+
+    def restart(self):
+        """Start the next process."""
+        self.is_down = False
+        self._born += 1
+
     def stop(self, name):
         """Stop a run if it is running."""
         self._end(name, RunEnd.STOPPED)
@@ -73,7 +99,9 @@
             )
             for name, (started_at, ends_at) in self._running.items()
         ]
-        return LeaseRenewalResult(int(now * 1000), 1, running, list(self._ends))
+        return LeaseRenewalResult(
+            int(now * 1000), self._born, running, list(self._ends)
+        )
 
 
 def create_worker(clock, life_id, cpu, speed, on_end):
