Renew no lease on the clock of a previous worker process

What callers could see: a task that ran twice at the same time.

Cause: a worker that restarts under its id is detected by the next lease renewal, which returns another start time. Until its report, renewals went on with deadlines on the previous clock, which lies far ahead. The worker cuts them to the longest lease, one second from each renewal, so the lease outlasted the grant by up to a second, and the owner had started the task elsewhere after 1.25 s.

Change: renewals to such a worker leave its lease unchanged.

Not covered: a start that reaches the new process within the 0.25 s before the first renewal gets one lease of a second as well.

--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -35,6 +35,7 @@
     20200: "a run started under a lease that outlasted the grant of its owner",
     20327: "the same, with another entry",
     97: "a run of a new owner started under the grant of the previous one",
+    21343: "the lease of a restarted worker followed the clock of its predecessor",
     3489: "an end from an earlier submission was applied to the current run",
 }
 
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -530,6 +530,21 @@
     assert worker_runs.worker_report(agent.state).usable
 
 
+def test_outdated_worker_process_gets_no_lease(agent):
+    """A deadline on the previous clock is cut to a lease that may outlast the grants.
+
+    The owner would start the task elsewhere while the run goes on here.
+    """
+    request_starts(agent, 100.0, 0)
+    call = worker_lists.next_lease_renewal(agent.state, 100.1)
+    assert call.deadline_ms is not None
+    worker_lists.lease_renewal_answered(
+        agent.state, call, worker_types.LeaseRenewalResult(10, 2), 100.1
+    )
+    assert agent.state.runs
+    assert worker_lists.next_lease_renewal(agent.state, 100.2).deadline_ms is None
+
+
 def test_fence_rises_above_an_unknown_higher_one(agent):
     """A restarted worker may have seen a fence far ahead of its new clock."""
     agent.restart(100.5)
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -19,7 +19,10 @@
         return None
     check_grants(state, now)
     previous_lease_until = state.lease_until
-    deadline_ms = lease_deadline_ms(state, now)
+    # The clock of a later process of the worker is not known yet. A deadline on the
+    # clock of the previous one would be cut to the longest lease, which may outlast
+    # the grants of the owners.
+    deadline_ms = None if state.is_outdated else lease_deadline_ms(state, now)
     # A number that the worker has received is not sent again: a new worker process
     # with the same id would drop ends of its own.
     is_new = state.last_seen > state.last_forgotten_end and not state.is_outdated
