Confine a queue whose tasks crash workers to a part of the workers

What callers saw: at the crest of the wave, deadly jobs of one queue came faster than workers came back. All eleven workers crashed within three seconds, most of them through a first crash, for which no task can be suspected.

Cause: nothing limits how many workers the tasks of one queue can take down.

Change: run starts and crash reports name the queue. A queue whose tasks are the suspects of 1.5 crashes (4% of the workers, if that is more) within 6 s may use a third of the workers, chosen alike by all entries, until the crashes end; other queues avoid these. Its backlog is its own: its jobs are refused for its own workers, and those of others are not refused for it. A queue that has the service to itself is not confined. Crashes are reported when the connection is refused, 0.8 s before the lease lapses.

admission.refusal_delay_s takes the core-seconds ahead instead of the backlog, since these depend on the queue now; its tests compute them from the backlog as before.

--- a/tests/model/test_experiment.py
+++ b/tests/model/test_experiment.py
@@ -121,3 +121,15 @@
 def test_shipped_experiments_are_valid():
     for name in ("lunch-wave", "lost-answers", "large-wave", "deadly-tasks"):
         load_experiment(f"examples/experiments/{name}.toml")
+
+
+def test_other_kinds_are_served_while_tasks_of_one_crash_workers():
+    """A storm of deadly tasks at the crest must not take down every worker."""
+    experiment = load_experiment("examples/experiments/deadly-tasks.toml")
+    [storm] = experiment.troubles
+    storm = msgspec.structs.replace(storm, share=0.3)
+    in_time = {}
+    for name, troubles in (("calm", []), ("storm", [storm])):
+        figures = play(msgspec.structs.replace(experiment, troubles=troubles), seed=7)
+        in_time[name] = figures["kinds"]["confirm"]["in_time"]
+    assert in_time["storm"] > 0.9 * in_time["calm"]
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from turmericknot.scheduling import ownership, worker_runs, worker_starts
+from turmericknot.scheduling import (
+    confinement,
+    ownership,
+    worker_runs,
+    worker_starts,
+)
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.crash_history import Crash
 from turmericknot.scheduling.jobs import encode_record
@@ -335,3 +340,102 @@
     deadly_site.advance(4.0)
     assert entry.owner.crash_history.is_suspect(DEADLY_TASK)
     assert entry.owner.crash_history.count(DEADLY_TASK) == 0
+
+
+CRASHING_QUEUE, OTHER_QUEUE = "crashing", "other"
+
+
+def submit_to_queue(site, entry, queue, number, tasks=1):
+    """Submit a best-effort job to a queue; return its id."""
+    job = f"{queue.encode().hex()[:4]}{number:012x}"
+    job_record = create_job_record(tasks=tasks, estimate=0.05)
+    job_record.queue = queue
+    entry.submit_best_effort("caller", site.now, job=job, job_record=job_record, wait=9)
+    site.deliver_all()
+    return job
+
+
+@pytest.fixture
+def confined_site(create_site):
+    """Return a site where two tasks of one queue have crashed their workers."""
+    site = create_site(agents=8)
+    entry = site.entries["entry-0"]
+    submit_to_queue(site, entry, OTHER_QUEUE, 0)
+    for number in range(2):
+        job = submit_to_queue(site, entry, CRASHING_QUEUE, number)
+        [(name, _)] = site.running(job)
+        site.agents[name].crash(site.now)
+        site.advance(0.1)
+    site.advance(0.2)
+    return site
+
+
+def test_queue_whose_tasks_crash_workers_is_confined(confined_site):
+    """Without a limit, each worker is down before the tasks are given up."""
+    entry = confined_site.entries["entry-0"]
+    cell = confinement.cell_agents(entry.owner.agents.values(), "s")
+    assert len(cell) == 3
+    started_before = count_starts(confined_site)
+    for number in range(10, 40):
+        submit_to_queue(confined_site, entry, CRASHING_QUEUE, number)
+        confined_site.advance(0.05)
+    started = {
+        name
+        for name, count in count_starts(confined_site).items()
+        if count > started_before[name]
+    }
+    assert started and started <= cell
+
+
+def count_starts(site):
+    return {agent.name: len(agent.worker.started) for agent in site.agents.values()}
+
+
+def test_other_queues_avoid_the_workers_of_a_confined_one(confined_site):
+    """Guards against work that is lost beside the next deadly task."""
+    entry = confined_site.entries["entry-0"]
+    cell = confinement.cell_agents(entry.owner.agents.values(), "s")
+    job = submit_to_queue(confined_site, entry, OTHER_QUEUE, 1, tasks=12)
+    assert not {name for name, _ in confined_site.running(job)} & cell
+
+
+def test_backlog_of_a_confined_queue_refuses_no_other_job(confined_site):
+    """Its jobs are refused for its own workers, those of other queues are not."""
+    entry = confined_site.entries["entry-0"]
+    confined_site.advance(2.5)
+    assert entry.owner.confined_queues == (CRASHING_QUEUE,)
+    entry.answers.clear()
+    for number in range(10, 200):
+        submit_to_queue(confined_site, entry, CRASHING_QUEUE, number, tasks=20)
+    assert Outcome.REFUSED in [outcome for _, outcome in entry.answers]
+    entry.answers.clear()
+    job = submit_to_queue(confined_site, entry, OTHER_QUEUE, 1)
+    assert confined_site.running(job) and not entry.answers
+
+
+def test_queue_is_released_when_no_worker_crashes_any_more(confined_site):
+    entry = confined_site.entries["entry-0"]
+    assert entry.owner.confined_queues == (CRASHING_QUEUE,)
+    confined_site.advance(8.0)
+    assert entry.owner.confined_queues == ()
+
+
+def test_only_queue_of_a_service_is_not_confined(create_site):
+    """Nobody else needs the workers that it would leave idle."""
+    site = create_site(agents=8)
+    entry = site.entries["entry-0"]
+    for number in range(3):
+        job = submit_to_queue(site, entry, CRASHING_QUEUE, number)
+        [(name, _)] = site.running(job)
+        site.agents[name].crash(site.now)
+        site.advance(0.3)
+    assert entry.owner.confined_queues == ()
+
+
+def test_withdrawn_crashes_confine_no_queue(confined_site):
+    """Workers that were cut off at the same time say nothing about a queue."""
+    entry = confined_site.entries["entry-0"]
+    for agent in confined_site.agents.values():
+        agent.down_until = None
+    confined_site.advance(0.3)
+    assert entry.owner.confined_queues == ()
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -151,8 +151,9 @@
     """A caller must not wait for an answer that comes too late to be useful."""
     backlog = admission.Backlog()
     backlog.add(0, waiting)
+    work = backlog.core_seconds_before(0)
     delay = admission.refusal_delay_s(
-        backlog, create_run_times(), create_job_record(), 100.0
+        work, create_run_times(), create_job_record(), 100.0
     )
     assert bool(delay) == refused
     assert delay <= admission.RETRY_MAX_S
@@ -163,14 +164,11 @@
     backlog = admission.Backlog()
     backlog.add(2, 1e6)
     times = create_run_times()
-    assert (
-        admission.refusal_delay_s(backlog, times, create_job_record(priority=1), 100.0)
-        == 0
-    )
-    assert (
-        admission.refusal_delay_s(backlog, times, create_job_record(priority=2), 100.0)
-        > 0
-    )
+    for priority, is_refused in ((1, False), (2, True)):
+        work = backlog.core_seconds_before(priority)
+        job_record = create_job_record(priority=priority)
+        delay = admission.refusal_delay_s(work, times, job_record, 100.0)
+        assert bool(delay) == is_refused
 
 
 def test_declared_run_times_are_corrected():
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -8,7 +8,7 @@
 
 from . import admission
 from .commands import Outcome
-from .job_requests import finish_job, job_refusal
+from .job_requests import finish_job, job_refusal, work_and_cores
 from .jobs import JobState, TaskStatus, create_job
 from .owner import Shard, answer, log
 from .pending import enqueue_ready_steps
@@ -179,7 +179,7 @@
         waited=round(now - job.submitted_at, 3),
     )
     waiters, job.waiters = job.waiters, []
-    delay = admission.retry_delay_s(owner.backlog, job.record, owner.free_cores)
+    delay = admission.retry_delay_s(*work_and_cores(owner, job.record))
     for waiter in waiters:
         answer(owner, waiter, outcome, delay, reason)
     finish_job(owner, job, JobState.CANCELLED, now)
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -2,7 +2,7 @@
 
 import math
 
-from . import admission, workers
+from . import admission, confinement, workers
 from .commands import Outcome, StoreRecord
 from .jobs import JobRecord, JobState, create_job, encode_record
 from .owner import (
@@ -52,6 +52,7 @@
 
 def job_refusal(owner, record, now, caller_wait_s=math.inf):
     """Return (outcome, delay, reason) if the job cannot be served, else None."""
+    owner.confinement.record_submission(record.queue, record.service, now)
     candidates = [
         agent
         for agent in owner.agents.values()
@@ -62,8 +63,9 @@
             workers.fits_empty_worker(a.worker, step) for a in candidates
         ):
             return Outcome.REFUSED, admission.RETRY_MAX_S, "too_large"
+    work, cores = work_and_cores(owner, record)
     delay = admission.refusal_delay_s(
-        owner.backlog, owner.run_times, record, owner.free_cores, caller_wait_s
+        work, owner.run_times, record, cores, caller_wait_s
     )
     if delay and now >= owner.workers_known_at:
         return (
@@ -74,6 +76,19 @@
     return None
 
 
+def work_and_cores(owner, record):
+    """Return the core-seconds ahead of a job, and the cores that serve them."""
+    if record.queue not in owner.confined_queues:
+        return owner.backlog.core_seconds_before(record.priority), owner.free_cores
+    cell = confinement.cell_agents(owner.agents.values(), record.service)
+    views = [owner.agents[agent_id] for agent_id in cell]
+    usable = [view for view in views if workers.is_connected_and_usable(view)]
+    cores = sum(view.worker.cpu - view.foreign_cpu for view in usable) / 1000
+    # When all are down, the next one is back within a second or so.
+    one_worker = max((view.worker.cpu for view in views), default=0) / 1000
+    return owner.backlog.core_seconds_of_queue(record.queue), max(cores, one_worker)
+
+
 def _acceptance_stored(owner, job, now):
     """Acknowledge and start a job whose acceptance is stored."""
     job.is_stored = True
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -110,6 +110,7 @@
         "failures",
         "avoided_agents",
         "suspect_since",
+        "backlog_level",
         "backlog_work",
     )
 
@@ -125,6 +126,7 @@
         self.avoided_agents = ()  # agents where it failed, hung or ran too slowly
         # When it began to wait as a task that may have crashed a worker; None if not.
         self.suspect_since = None
+        self.backlog_level = 0  # where it adds to the backlog
         self.backlog_work = 0.0  # core-seconds that it adds to the backlog
 
     @property
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -9,6 +9,7 @@
 
 from . import admission, workers
 from .commands import AnswerRequest, OwnerLogLine, SendMessage, StoreRecord
+from .confinement import create_confinement
 from .crash_history import create_crash_history
 from .estimates import create_run_times
 from .jobs import FailedRun, JobState, TaskStatus, encode_record
@@ -91,6 +92,8 @@
         "backlog",
         "run_times",
         "crash_history",
+        "confinement",
+        "confined_queues",
         "commands",
         "_deferred_acknowledgements",
         "_flush_acknowledgements_at",
@@ -115,6 +118,8 @@
         self.backlog = admission.Backlog()
         self.run_times = create_run_times()
         self.crash_history = create_crash_history()
+        self.confinement = create_confinement()
+        self.confined_queues = ()  # names of the queues that may use a cell only
         self.commands = []
         # (agent id, life of its worker) -> numbers of ends to acknowledge
         self._deferred_acknowledgements = {}
--- a/turmericknot/scheduling/pending.py
+++ b/turmericknot/scheduling/pending.py
@@ -27,13 +27,16 @@
         # A suspect waits for its turn in the quarantine; the others do not wait for it.
         is_suspect = owner.crash_history.is_suspect(task.key)
         task.backlog_work = 0.0 if is_suspect else expected_work(task)
-        owner.backlog.add(task.job.record.priority, task.backlog_work)
+        record = task.job.record
+        is_confined = record.queue in owner.confined_queues
+        task.backlog_level = record.queue if is_confined else record.priority
+        owner.backlog.add(task.backlog_level, task.backlog_work)
 
 
 def dequeue_task(owner, task):
     """Remove a task from the waiting list."""
     owner.waiting.remove(task)
-    owner.backlog.add(task.job.record.priority, -task.backlog_work)
+    owner.backlog.add(task.backlog_level, -task.backlog_work)
     task.backlog_work = 0.0
 
 
--- a/turmericknot/scheduling/quarantine.py
+++ b/turmericknot/scheduling/quarantine.py
@@ -23,11 +23,6 @@
 SPREAD_INTERVAL_S = 1.0
 
 
-def rank(agent_id):
-    """Return a number that orders the agents in the same way at all entries."""
-    return zlib.crc32(agent_id.encode())
-
-
 def quarantine_agents(agents, service, now, last_suspect_at):
     """Return the ids of the agents whose workers other tasks should avoid now.
 
@@ -35,11 +30,11 @@
     """
     if now - last_suspect_at > QUARANTINE_S:
         return frozenset()
-    of_service = [a for a in agents if _serves(a, service)]
+    of_service = [a for a in agents if serves(a, service)]
     if len(of_service) < MIN_WORKERS:
         return frozenset()
     count = math.ceil(len(of_service) / WORKERS_PER_QUARANTINE)
-    return frozenset(agent.id for agent in nsmallest(count, of_service, key=_rank_of))
+    return frozenset(agent.id for agent in nsmallest(count, of_service, key=rank_of))
 
 
 def choose_agent(agents, task, now):
@@ -49,18 +44,20 @@
     """
     waited_s = now - task.suspect_since
     count = 1 + int(waited_s / SPREAD_INTERVAL_S)
-    of_service = [a for a in agents if _serves(a, task.job.record.service)]
-    for agent in nsmallest(count, of_service, key=_rank_of):
+    of_service = [a for a in agents if serves(a, task.job.record.service)]
+    for agent in nsmallest(count, of_service, key=rank_of):
         if _is_isolated(agent) and workers.is_candidate(agent, task, now):
             return agent
     return None
 
 
-def _rank_of(agent):
-    return rank(agent.id)
+def rank_of(agent):
+    """Return a number that orders the agents in the same way at all entries."""
+    return zlib.crc32(agent.id.encode())
 
 
-def _serves(agent, service):
+def serves(agent, service):
+    """Return whether the worker of the agent, up or down, belongs to the service."""
     return agent.worker is not None and agent.worker.service == service
 
 
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -115,6 +115,10 @@
     The crashes under tasks of durable jobs are stored for a later owner. Those under
     tasks that this entry does not own count if they are submitted or taken over later.
     """
+    if report.is_withdrawn:
+        owner.confinement.withdraw(report.life)
+    else:
+        owner.confinement.record(report.life, report.tasks, now)
     changed_tasks = [
         task for task in report.tasks if _record_crash(owner, report, task, now)
     ]
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -4,7 +4,7 @@
 
 from turmericknot.wire.shard_messages import RunName, RunStart, StartRuns
 
-from . import besteffort, quarantine, workers
+from . import besteffort, confinement, quarantine, workers
 from .commands import SendMessage, StoreRecord
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
@@ -71,7 +71,8 @@
     skipped = 0
     usable_agents = None
     candidates = {}  # shard number -> agents that may get its runs
-    quarantined = {}  # service -> ids of the agents to avoid
+    cells = {}  # service -> ids of the agents that confined queues may use
+    avoided = {}  # service -> ids of the agents that other tasks should avoid
     for job in owner.waiting.jobs():
         if skipped > MAX_SKIPPED_JOBS:
             break
@@ -91,6 +92,7 @@
                 if _ensure_agent_recorded(owner, shard, agent)
             ]
         started_tasks = []
+        is_confined = job.record.queue in owner.confined_queues
         for task in list(owner.waiting.tasks(job)):
             if fail_if_out_of_attempts(owner, task, now):
                 break
@@ -101,22 +103,17 @@
                     started_tasks.append(task)
                 continue
             service = job.record.service
-            if service not in quarantined:
-                quarantined[service] = quarantine.quarantine_agents(
-                    owner.agents.values(),
-                    service,
-                    now,
-                    owner.crash_history.last_suspect_at,
-                )
+            if service not in cells:
+                cells[service], avoided[service] = _divide_agents(owner, service, now)
+            agents = candidates[shard.number]
+            if is_confined:
+                agents = [agent for agent in agents if agent.id in cells[service]]
             agent = workers.choose_agent_from_sample(
-                candidates[shard.number],
-                task,
-                now,
-                owner.rng,
-                quarantined[service],
+                agents, task, now, owner.rng, avoided[service]
             )
             if agent is None:
-                skipped += 1
+                # A confined queue waits for its cell alone.
+                skipped += not is_confined
                 break
             _start_task(owner, shard, agent, task, now, starts)
             started_tasks.append(task)
@@ -124,6 +121,18 @@
             _log_started_tasks(owner, job, started_tasks, now)
 
 
+def _divide_agents(owner, service, now):
+    """Return the agents that confined queues may use, and those to avoid, as ids."""
+    agents = owner.agents.values()
+    quarantined = quarantine.quarantine_agents(
+        agents, service, now, owner.crash_history.last_suspect_at
+    )
+    if not owner.confined_queues:
+        return frozenset(), quarantined
+    cell = confinement.cell_agents(agents, service)
+    return cell, cell | quarantined
+
+
 def _choose_agent_for_suspect(owner, shard, task, now):
     """Return the agent for a task that may have crashed a worker, or None."""
     if owner.crash_history.is_undecided(task.key, now):
@@ -211,6 +220,7 @@
         owner.run_times.expected_run_s(job.record.queue, spec),
         QUEUE_TIMEOUT_S if has_free_capacity else FULL_WORKER_QUEUE_TIMEOUT_S,
         task.suspect_since is not None,
+        job.record.queue,
     )
     starts.setdefault((agent.id, shard.number), []).append(run)
     owner.count("started")
@@ -305,6 +315,7 @@
 
 def tick(owner, now):
     """Act on everything that depends on time alone; called several times a second."""
+    update_confined_queues(owner, now)
     _expire_agents(owner, now)
     besteffort.end_overdue_jobs(owner, now)
     for shard in owner.shards.values():
@@ -318,6 +329,18 @@
     schedule_tasks(owner, now)
 
 
+def update_confined_queues(owner, now):
+    """Confine the queues whose tasks crash workers, and release the others."""
+    worker_count = sum(view.worker is not None for view in owner.agents.values())
+    confined = owner.confinement.confined_queues(worker_count, now)
+    if confined == owner.confined_queues:
+        return
+    log(owner, "queues.confined", queues=",".join(confined))
+    owner.confined_queues = confined
+    for agent_id in owner.agents:
+        owner.placement_events.capacity_freed(agent_id)
+
+
 def _expire_agents(owner, now):
     """Give up the runs of agents whose grants have expired.
 
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -40,6 +40,7 @@
         life=state.life.key,
         runs=_describe_runs(_started_runs(state), now),
     )
+    report_crash(state, now, is_confirmed=False)
     return True
 
 
@@ -82,7 +83,14 @@
         has_started = run.is_confirmed and not run.is_stopping
         name = run.name
         rows.append(
-            CrashedTask(name.job, name.step, name.index, run in suspects, has_started)
+            CrashedTask(
+                name.job,
+                name.step,
+                name.index,
+                run in suspects,
+                has_started,
+                run.queue,
+            )
         )
     _report(state, WorkerCrashed(state.life.key, rows, is_confirmed), now)
     _log(
--- a/turmericknot/scheduling/worker_leases.py
+++ b/turmericknot/scheduling/worker_leases.py
@@ -8,7 +8,6 @@
 from turmericknot.wire.shard_messages import EndedRun, RunsEnded, ShardInventory
 
 from .jobs import RunEnd
-from .worker_crashes import report_crash
 from .worker_runs import (
     LEASE_LAPSE_MARGIN_S,
     WORKER_CLOCK_ERROR_FACTOR,
@@ -96,7 +95,7 @@
         _previous_lease_lapsed(state)
     lease_over = now > state.lease_until
     if lease_over and state.unreachable_since is not None:
-        _end_unreachable_runs(state, now)
+        _end_unreachable_runs(state)
     for number, shard_grant in list(state.shards.items()):
         if (
             now < shard_grant.expires_at - GRANT_STOP_MARGIN_S
@@ -119,7 +118,7 @@
             _forget_owner(state, number)
 
 
-def _end_unreachable_runs(state, now):
+def _end_unreachable_runs(state):
     """Report the runs of a worker that could not be reached until its lease lapsed.
 
     They have ended, whether the worker has crashed or is cut off. Waiting for its next
@@ -132,7 +131,6 @@
     ]
     if not lapsed:
         return
-    report_crash(state, now, is_confirmed=False)
     for run in lapsed:
         run.is_lapsed = True
         report_end(state, run.shard, EndedRun(run.name, 0, RunEnd.LOST))
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -39,6 +39,7 @@
         run.due_at = now + start.due_in_s
         run.expected = start.expected
         run.is_suspect = start.is_suspect
+        run.queue = start.queue
         if expected_wait_s(state, run, now) > start.max_queue_wait_s:
             refused.append(RefusedRun(name, "room"))
             continue
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -78,6 +78,7 @@
     progressed_at: float = 0.0  # when the percentage last changed
     is_stuck: bool = False
     is_suspect: bool = False  # the task may have crashed another worker
+    queue: str = ""  # of its job; empty if unknown
     is_lapsed: bool = False  # ended with the lease of a worker that cannot be reached
 
 
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -89,6 +89,7 @@
     expected: float = 0.0  # expected duration in seconds
     max_queue_wait_s: float = 0.0  # limit of the wait for capacity on the worker
     is_suspect: bool = False  # the task may have crashed a worker
+    queue: str = ""
 
 
 class StartRuns(Message, tag=64):
@@ -208,6 +209,7 @@
     index: int
     is_suspect: bool
     has_started: bool
+    queue: str = ""
 
 
 class WorkerCrashed(Message, tag=80):
