Tell the owners when the accelerators of a worker change

A worker's capacity may shrink and grow while it runs. The agent compared processors, memory and labels of its reports, but not accelerators, so owners kept sending starts that the agent then refused, or left devices unused that had come back.

The agent itself kept within a shrunk capacity already, a run that is being stopped included; a test shows it now (LIMIT).

--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -132,6 +132,35 @@
     assert len(agent.worker.running) == 2
 
 
+def test_no_run_beyond_a_capacity_that_has_shrunk(agent):
+    """Workers that do not check their capacity start whatever they are told to."""
+    agent.cpu = 3000
+    agent.report(100.0)
+    request_starts(agent, 100.0, 0)
+    agent.cpu = 1000
+    assert agent.report(100.1)
+    request_starts(agent, 100.1, 1)
+    for run in agent.state.runs.values():
+        if run.pending_start is None:
+            worker_runs.stop_run(agent.state, run, 100.1)  # still counts
+    worker_starts.start_queued_runs(agent.state, 100.15)
+    assert len(agent.start_calls) == 1
+    agent.cpu = 3000
+    agent.report(100.2)
+    request_starts(agent, 100.2, 2)
+    assert len(agent.start_calls) == 2
+
+
+def test_owners_learn_of_each_change_of_the_capacity(agent):
+    """Guards against starts for which the worker no longer has the accelerators."""
+    for now, accelerators in ((100.1, 2), (100.2, 1), (100.3, 1)):
+        previous = agent.state.life.accelerators
+        life = agent.life(now)
+        life.accelerators = accelerators
+        is_reported = worker_runs.worker_reported(agent.state, life, now)
+        assert is_reported == (accelerators != previous)
+
+
 def test_freed_capacity_is_used_at_once(agent):
     """At peak load, a round trip to an owner would leave the capacity unused."""
     request_starts(agent, 100.0, 0, 1, 2)
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -212,12 +212,7 @@
         if life.sequence <= previous.sequence:
             return False
         state.has_report = True
-        changed = (previous.usable, previous.cpu, previous.memory, previous.labels) != (
-            life.usable,
-            life.cpu,
-            life.memory,
-            life.labels,
-        )
+        changed = _described_state(previous) != _described_state(life)
         state.life = life
         return changed
     if previous is not None and life.born < previous.born:
@@ -232,6 +227,11 @@
     return True
 
 
+def _described_state(life):
+    """Return what the owners are told about a worker."""
+    return (life.usable, life.cpu, life.memory, life.accelerators, life.labels)
+
+
 def worker_left(state, life_id, now):
     """Handle the exit of a worker; return whether it was the current one."""
     if state.life is None or state.life.id != life_id:
