--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -58,6 +58,36 @@
     run_site(test)
 
 
+@pytest.mark.parametrize("durable", [False, True])
+def test_task_that_crashes_its_workers_is_given_up(run_site, durable):
+    """A deadly task must not take down worker after worker, nor the work beside it."""
+
+    async def test(site):
+        beside = asyncio.gather(
+            *(submit_until_served(site, "entry-1", n, tasks=4) for n in range(2, 8))
+        )
+        body = job_body(tasks=2, run_ms=400, durable=durable, spec="deadly 400")
+        status, answer = await site.send_request(
+            "entry-0", "POST", job_id(1), body, deadline_ms=20_000
+        )
+        assert status == 200
+
+        async def failed():
+            if not durable:
+                return answer == {"state": "failed"}
+            return await site.send_request("entry-1", "GET", job_id(1)) == (
+                200,
+                {"state": "failed"},
+            )
+
+        await site.wait_until(failed)
+        assert await beside == [{"state": "succeeded"}] * 6
+        crashes = [task for worker in site.workers for task in worker.crashed_tasks]
+        assert len(crashes) == 2
+
+    run_site(test)
+
+
 def test_durable_job_is_known_to_every_entry(run_site):
     """A job accepted by one entry must be known, and its end reported, by all."""
 
--- a/tests/standins/leased_worker.py
+++ b/tests/standins/leased_worker.py
@@ -1,8 +1,9 @@
 """Stand-in for a worker of the platform, with leases and fence tokens.
 
 It sends reports to an agent and runs each task for the number of milliseconds in the
-task's spec (``"80"``; ``"fail 80"`` ends as failed). When its lease expires, it ends
-all its runs. ``violations`` lists tasks that were started while they were running.
+task's spec (``"80"``; ``"fail 80"`` ends as failed, ``"deadly 80"`` crashes the worker
+if it is the first task of a step). When its lease expires, it ends all its runs.
+``violations`` lists tasks that were started while they were running.
 """
 
 import asyncio
@@ -16,6 +17,8 @@
 
 REPORT_INTERVAL_S = 0.3
 MAX_LEASE_MS = 1000
+CRASH_DELAY_S = 0.01  # from the start of a deadly task
+CRASHED_S = 1.5  # from a crash to the start of the next process
 EXPECT_HEADER = "x-turmericknot-expect-instance"
 
 
@@ -39,6 +42,7 @@
         self.sequence = 0
         self.state = "ready"
         self.is_silent = False  # if true, no reports are sent
+        self.crashed_tasks = []  # first task of a step that crashed the worker
         self.run_ended = asyncio.Event()
         self.server = create_http_server(self.handle)
         self.address = ""
@@ -52,6 +56,32 @@
         host, port = self.server._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    async def crash(self):
+        """End the process with all runs; another one starts some time later."""
+        self.is_silent = True
+        self.server.stop()
+        for _, _, _, timer, row in self.running.values():
+            timer.cancel()
+            row[3], row[4] = time.monotonic(), "crashed"
+        self.running.clear()
+        await asyncio.sleep(CRASHED_S)
+        self.unacknowledged_ends = []
+        self.last_end_number = 0
+        self.highest_ended_runs = {}
+        self.fence_token = 0
+        self.lease_deadline_ms = 0
+        self.clock_origin = time.monotonic()
+        self.born = int(time.time() * 1000)
+        self.name += "x"
+        self.server = create_http_server(self.handle)
+        await self.server.start(self.address)
+        self.is_silent = False
+
+    def _crash_soon(self, task):
+        self.crashed_tasks.append(task)
+        loop = asyncio.get_running_loop()
+        loop.call_later(CRASH_DELAY_S, lambda: loop.create_task(self.crash()))
+
     async def send_reports(self, agent_address):
         """Start the lease check, then send reports to the agent until cancelled."""
         client = create_http_client(agent_address)
@@ -127,6 +157,8 @@
             int(spec_words[-1]) / 1000, self._end_run, task, outcome
         )
         self.running[task] = (run, body["spec"], time.monotonic(), timer, row)
+        if spec_words[0] == "deadly" and task.endswith(".0"):
+            self._crash_soon(task)
         return self._json_response(200)
 
     async def run_stop(self, body):
