Tell the age of a crash that is reported again

A restarted entry, or one that an agent begins to serve, got the crashes of the last minute as new ones: it confined queues and kept workers free for suspects after the end of a storm. Times of repeated reports need not be in order, so the window is checked for each.

--- a/turmericknot/scheduling/confinement.py
+++ b/turmericknot/scheduling/confinement.py
@@ -39,14 +39,14 @@
         """Record that a queue has a new job."""
         self._submissions[queue] = (service, now)
 
-    def record(self, life, tasks, now):
+    def record(self, life, tasks, reported_at):
         """Record the suspects of a crash, as CrashedTask; each gets an equal share."""
         suspects = [task for task in tasks if task.is_suspect]
         if any(life == known for q in self._crashes.values() for _, known, _ in q):
             return
         for queue in {task.queue for task in suspects if task.queue}:
             share = sum(task.queue == queue for task in suspects) / len(suspects)
-            self._crashes.setdefault(queue, deque()).append((now, life, share))
+            self._crashes.setdefault(queue, deque()).append((reported_at, life, share))
 
     def withdraw(self, life):
         """Remove a crash that has not happened."""
@@ -56,18 +56,19 @@
 
     def confined_queues(self, worker_count, now):
         """Return the names of the queues that are confined now."""
-        if worker_count < MIN_WORKERS:
-            return ()
         threshold = max(CRASHES_TO_CONFINE, CRASHED_SHARE_TO_CONFINE * worker_count)
         for queue, crashes in list(self._crashes.items()):
+            # Repeated reports come late, so the times need not be in order.
             while crashes and now - crashes[0][0] > STORM_WINDOW_S:
                 crashes.popleft()
             if not crashes:
                 del self._crashes[queue]
+        if worker_count < MIN_WORKERS:
+            return ()
         return tuple(
             queue
             for queue, crashes in self._crashes.items()
-            if sum(weight for _, _, weight in crashes) >= threshold
+            if sum(w for at, _, w in crashes if now - at <= STORM_WINDOW_S) >= threshold
             and self._is_sharing_workers(queue, now)
         )
 
@@ -83,7 +84,7 @@
 def cell_agents(agents, service):
     """Return the ids of the agents that confined queues of the service may use.
 
-    All entries choose alike. Agents whose workers are down are included.
+    All entries choose alike. Connected agents whose workers are down are included.
     """
     of_service = [agent for agent in agents if serves(agent, service)]
     count = math.ceil(CELL_SHARE * len(of_service))
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -118,9 +118,11 @@
     if report.is_withdrawn:
         owner.confinement.withdraw(report.life)
     else:
-        owner.confinement.record(report.life, report.tasks, now)
+        owner.confinement.record(report.life, report.tasks, now - report.age_s)
     changed_tasks = [
-        task for task in report.tasks if _record_crash(owner, report, task, now)
+        task
+        for task in report.tasks
+        if _record_crash(owner, report, task, now - report.age_s)
     ]
     if not changed_tasks:
         return
@@ -146,11 +148,11 @@
             store_job(owner, job, None)
 
 
-def _record_crash(owner, report, task, now):
+def _record_crash(owner, report, task, reported_at):
     key = (task.job, task.step, task.index)
     if report.is_withdrawn:
         return owner.crash_history.withdraw(key, report.life)
-    crash = Crash(task.is_suspect, task.has_started, report.is_confirmed, now)
+    crash = Crash(task.is_suspect, task.has_started, report.is_confirmed, reported_at)
     return owner.crash_history.record(key, report.life, crash)
 
 
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -122,7 +122,7 @@
 def recent_crash_reports(state, now):
     """Return the WorkerCrashed messages for an entry that has just connected."""
     return [
-        message
+        msgspec.structs.replace(message, age_s=now - reported_at)
         for reported_at, message in state.recent_crashes.values()
         if now - reported_at <= CRASH_RETENTION_S
     ]
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -226,6 +226,7 @@
     tasks: list[CrashedTask]
     is_confirmed: bool = True
     is_withdrawn: bool = False
+    age_s: float = 0.0  # time since the report, if it is repeated on a new stream
 
 
 class PeerGreeting(Message, tag=70):
