Choose the quarantine among connected agents, and limit its spread

A VM that has been removed kept its rank, so that suspects waited a second for each such agent. A suspicion that was withdrawn no longer marks later runs.

--- a/turmericknot/scheduling/quarantine.py
+++ b/turmericknot/scheduling/quarantine.py
@@ -21,6 +21,9 @@
 QUARANTINE_S = 5.0
 # A suspect that waits may use one more worker after each of these intervals.
 SPREAD_INTERVAL_S = 1.0
+# It uses this share of the workers at most, until it has waited for this long.
+MAX_SPREAD_SHARE = 0.35
+MAX_LIMITED_WAIT_S = 10.0
 
 
 def quarantine_agents(agents, service, now, last_suspect_at):
@@ -43,8 +46,10 @@
     ``agents`` are all agents, also those whose workers are down.
     """
     waited_s = now - task.suspect_since
-    count = 1 + int(waited_s / SPREAD_INTERVAL_S)
     of_service = [a for a in agents if serves(a, task.job.record.service)]
+    count = 1 + int(waited_s / SPREAD_INTERVAL_S)
+    if waited_s < MAX_LIMITED_WAIT_S:
+        count = min(count, math.ceil(MAX_SPREAD_SHARE * len(of_service)))
     for agent in nsmallest(count, of_service, key=rank_of):
         if _is_isolated(agent) and workers.is_candidate(agent, task, now):
             return agent
@@ -57,8 +62,15 @@
 
 
 def serves(agent, service):
-    """Return whether the worker of the agent, up or down, belongs to the service."""
-    return agent.worker is not None and agent.worker.service == service
+    """Return whether the worker of a connected agent belongs to the service.
+
+    The worker may be down.
+    """
+    return (
+        agent.is_connected
+        and agent.worker is not None
+        and agent.worker.service == service
+    )
 
 
 def _is_isolated(agent):
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -102,6 +102,7 @@
                     _start_task(owner, shard, agent, task, now, starts)
                     started_tasks.append(task)
                 continue
+            task.suspect_since = None  # the crash has been withdrawn
             service = job.record.service
             if service not in cells:
                 cells[service], avoided[service] = _divide_agents(owner, service, now)
