Withdraw no crash for the answer of a later process

A worker that restarts under its id answers renewals before it reports itself. The answer was taken for one of the process that had crashed: the crash was withdrawn, and then every run counted as a suspect, because the worker seemed to have answered later than it had.

--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -176,9 +176,11 @@
             ListedRun(name, min(99, int((now - started_at) / FULL_RUN_S * 100)))
             for name, started_at in self.worker.running.items()
         ]
-        self.has_changed = worker_crashes.worker_answered(self.state, now)
+        was_reachable = self.state.unreachable_since is None
         result = LeaseRenewalResult(int(now * 1000), call.life.born, running, ends)
         worker_lists.lease_renewal_answered(self.state, call, result, now)
+        is_reachable = self.state.unreachable_since is None
+        self.has_changed = is_reachable != was_reachable
         return call
 
     def execute_calls(self, now):
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -5,14 +5,17 @@
 from turmericknot.scheduling import (
     confinement,
     ownership,
+    quarantine,
+    worker_lists,
     worker_runs,
     worker_starts,
 )
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.crash_history import Crash
 from turmericknot.scheduling.jobs import encode_record
+from turmericknot.scheduling.worker_types import LeaseRenewalResult
 
-from .site import JOB_ID, create_job_record, gain_shard
+from .site import JOB_ID, Entry, create_job_record, gain_shard
 from .test_stored import SHARD, submit
 
 DEADLY_TASK = (JOB_ID, 0, 0)
@@ -439,3 +442,50 @@
         agent.down_until = None
     confined_site.advance(0.3)
     assert entry.owner.confined_queues == ()
+
+
+def test_old_crashes_confine_no_queue_at_a_restarted_entry(confined_site):
+    """Agents repeat the crashes of the last minute to an entry that connects."""
+    agents = list(confined_site.agents.values())
+    entry = confined_site.entries["entry-0"]
+    confined_site.advance(10.0)
+    restarted = Entry("entry-1", 1)
+    confined_site.entries[restarted.name] = restarted
+    for agent in agents:
+        confined_site.connect(restarted, agent)
+    submit_to_queue(confined_site, restarted, OTHER_QUEUE, 1)
+    submit_to_queue(confined_site, restarted, CRASHING_QUEUE, 50)
+    confined_site.advance(0.2)
+    assert len(restarted.owner.crash_history) == len(entry.owner.crash_history) > 0
+    assert restarted.owner.confined_queues == ()
+
+
+def test_agents_that_are_gone_hold_no_place_in_the_quarantine(create_site):
+    """Suspects must not wait for a worker whose VM has been removed."""
+    site = create_site(agents=4)
+    entry = site.entries["entry-0"]
+    crash = Crash(True, True, True, site.now)
+    entry.owner.crash_history.record(DEADLY_TASK, "life", crash)
+    by_rank = sorted(entry.owner.agents.values(), key=quarantine.rank_of)
+    site.disconnect(entry, site.agents[by_rank[0].id])
+    job_record = create_job_record(tasks=1)
+    entry.submit_best_effort("caller", site.now, job_record=job_record)
+    site.deliver_all()
+    assert [name for name, _ in site.running()] == [by_rank[1].id]
+
+
+def test_answer_of_a_later_process_withdraws_no_crash(deadly_site):
+    """A worker may restart under its id, and answer before it reports itself."""
+    entry = deadly_site.entries["entry-0"]
+    agent = deadly_site.agents["agent-0"]
+    for other in list(deadly_site.agents.values())[1:]:
+        deadly_site.disconnect(entry, other)
+    entry.submit_best_effort("caller", deadly_site.now, wait=60)
+    deadly_site.advance(0.1)
+    agent.deadly_tasks.clear()
+    call = worker_lists.next_lease_renewal(agent.state, deadly_site.now)
+    result = LeaseRenewalResult(10, 2)
+    worker_lists.lease_renewal_answered(agent.state, call, result, deadly_site.now)
+    deadly_site.deliver_all()
+    assert agent.state.unreachable_since is not None
+    assert entry.owner.crash_history.is_suspect(DEADLY_TASK)
--- a/turmericknot/model/agent.py
+++ b/turmericknot/model/agent.py
@@ -206,7 +206,6 @@
             worker_lists.lease_renewal_not_sent(self._state, call)
             self._clock.call_later(REFUSED_RENEWAL_INTERVAL_S, self._schedule_renewal)
         elif call is not None:
-            worker_crashes.worker_answered(self._state, now)
             result = self.worker.answer_renewal(call)
             worker_lists.lease_renewal_answered(self._state, call, result, now)
         self._execute_commands()
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -357,18 +357,22 @@
             await asyncio.sleep(max(0.0, LOST_RENEWAL_INTERVAL_S - elapsed_s))
             return 0.0
         self._is_renewal_lost = False
-        self._record_answer()
-        flags_before = self._runs.is_synced, self._runs.is_outdated
+        flags_before = self._worker_flags()
         worker_lists.lease_renewal_answered(self._runs, call, result, steady_time())
         if self._runs.needs_inherited_shards and self._inherited_shards_task is None:
             self._inherited_shards_task = start_background_task(
                 self._load_inherited_shards(), "former shards", self.on_task_failure
             )
-        if flags_before != (self._runs.is_synced, self._runs.is_outdated):
+        if flags_before != self._worker_flags():
             self._entries.send_worker_report()
         self._execute_commands()
         return 0.0
 
+    def _worker_flags(self):
+        """Return what decides, besides the worker's report, whether it is offered."""
+        runs = self._runs
+        return runs.is_synced, runs.is_outdated, runs.unreachable_since is None
+
     def _record_refusal(self, error):
         """Record whether the worker itself has refused a call or could not get it.
 
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -3,6 +3,7 @@
 from turmericknot.wire.shard_messages import EndedRun
 
 from .jobs import RunEnd
+from .worker_crashes import worker_answered
 from .worker_leases import check_grants, lease_deadline_ms, mark_synced
 from .worker_pace import check_progress
 from .worker_runs import FENCE_STEP_MS, inherited_shard, log, report_end, stop_run
@@ -54,6 +55,7 @@
     if result.born is not None and result.born != state.life.born:
         _mark_outdated(state, result.born)
         return
+    worker_answered(state, now)
     if _is_overtaken(state, call, result):
         return
     state.lists_clock_ms = result.clock_ms
