Walk through sites whose workers accept no connections

The fuzzer knew crashes that nobody notices before the next report, but no worker that refuses connections for a while: crashed, or cut off while its runs go on, which must not start elsewhere before the lease has lapsed. The new walks use actions of their own, so that the seeds of the others keep their meaning.

--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -7,7 +7,7 @@
 
 from tests.scheduling.fuzz.knockouts import KNOCKOUTS
 from tests.scheduling.fuzz.oracle import InvariantViolation
-from tests.scheduling.fuzz.walk import walk
+from tests.scheduling.fuzz.walk import UNREACHABLE_WORKERS, walk
 
 STEPS = 120
 WALKS = 100
@@ -40,6 +40,10 @@
     21343: "the lease of a restarted worker followed the clock of its predecessor",
     3489: "an end from an earlier submission was applied to the current run",
 }
+# The same for walks with unreachable workers.
+FAILED_WALKS_WITH_UNREACHABLE_WORKERS = {
+    1436: "a run that ended on a cut-off worker was held against its task in a crash",
+}
 
 
 def test_random_walks():
@@ -48,6 +52,17 @@
         walk(seed, STEPS)
 
 
+def test_random_walks_with_unreachable_workers():
+    """Guards against tasks that start elsewhere while a cut-off worker runs them."""
+    for seed in range(WALKS):
+        walk(seed, STEPS, UNREACHABLE_WORKERS)
+
+
+@pytest.mark.parametrize("seed", FAILED_WALKS_WITH_UNREACHABLE_WORKERS)
+def test_previously_failed_walk_with_unreachable_workers_passes(seed):
+    walk(seed, STEPS, UNREACHABLE_WORKERS)
+
+
 def test_every_knockout_has_a_walk():
     """Guards against a knockout that no walk is known to detect."""
     assert set(KNOCKOUT_WALKS) == set(KNOCKOUTS)
@@ -80,3 +95,4 @@
     print(f"\nFUZZ_SEED={seed}")
     for offset in range(int(os.environ["FUZZ_LONG"])):
         walk(seed + offset, 2 * STEPS)
+        walk(seed + offset, 2 * STEPS, UNREACHABLE_WORKERS)
--- a/tests/scheduling/fuzz/walk.py
+++ b/tests/scheduling/fuzz/walk.py
@@ -174,7 +174,29 @@
 }
 
 
-def walk(seed, steps):
+def _crash_worker_for_seconds(world, rng):
+    rng.choice(world.agents).crash_worker(world.now, rng.uniform(0.2, 4.0))
+
+
+def _cut_off_worker(world, rng):
+    rng.choice(world.agents).is_worker_reachable = False
+
+
+def _reach_workers(world, rng):
+    for agent in world.agents:
+        agent.is_worker_reachable = True
+
+
+# Workers that accept no connections: crashed, or cut off and running on.
+UNREACHABLE_WORKERS = {
+    **ACTIONS,
+    _crash_worker_for_seconds: 3,
+    _cut_off_worker: 3,
+    _reach_workers: 4,
+}
+
+
+def walk(seed, steps, actions=ACTIONS):
     """Run a walk and return its world.
 
     Raises InvariantViolation with the seed and the step.
@@ -183,7 +205,7 @@
     step = 0
     world = World(seed)
     try:
-        for action in rng.choices(list(ACTIONS), list(ACTIONS.values()), k=steps):
+        for action in rng.choices(list(actions), list(actions.values()), k=steps):
             step += 1
             action(world, rng)
             world.process_pending()
--- a/tests/scheduling/fuzz/worker_model.py
+++ b/tests/scheduling/fuzz/worker_model.py
@@ -4,6 +4,7 @@
 
 from tests.scheduling.fuzz.oracle import ListedRunEnd
 from turmericknot.scheduling import (
+    worker_crashes,
     worker_leases,
     worker_lists,
     worker_runs,
@@ -161,6 +162,8 @@
         self.delayed_starts = []
         self.delayed_share = 0.0  # of starts
         self.last_report_at = -REPORT_INTERVAL_S
+        self.is_worker_reachable = True
+        self.worker_down_until = 0.0
 
     def start(self, now):
         """Start a new agent process."""
@@ -183,17 +186,32 @@
         if self.state is None or self.is_paused:
             return
         worker_leases.check_grants(self.state, now)
-        if now - self.last_report_at >= REPORT_INTERVAL_S:
+        is_report_due = now - self.last_report_at >= REPORT_INTERVAL_S
+        if is_report_due and self._can_call(now):
             self._report_worker(now)
         call = worker_lists.next_lease_renewal(self.state, now)
         if call is None:
             return
+        if not self._can_call(now):
+            worker_crashes.worker_unreachable(self.state, now)
+            worker_lists.lease_renewal_not_sent(self.state, call)
+            return
         result = self.worker.answer_lease_renewal(call, now)
         if result is None:
             worker_runs.fence_refused(self.state, now)
             return
         worker_lists.lease_renewal_answered(self.state, call, result, now)
 
+    def _can_call(self, now):
+        return self.is_worker_reachable and now >= self.worker_down_until
+
+    def crash_worker(self, now, down_s):
+        """Crash the worker; the next process reports itself after ``down_s``."""
+        self.delayed_starts.clear()
+        self.worker.crash(now)
+        self.worker_down_until = now + down_s
+        self.last_report_at = -REPORT_INTERVAL_S
+
     def _report_worker(self, now):
         self.last_report_at = now
         self.sequence += 1
@@ -213,6 +231,8 @@
         for command in self.state.pop_commands():
             if isinstance(command, StartCall):
                 self._request_start(command, now)
+            elif not self._can_call(now) and isinstance(command, StopCall):
+                worker_crashes.worker_unreachable(self.state, now)
             elif isinstance(command, StopCall):
                 self.worker.stop_run(command)
             elif isinstance(command, SendToOwner):
@@ -222,6 +242,10 @@
         return messages
 
     def _request_start(self, call, now):
+        if not self._can_call(now):
+            worker_crashes.worker_unreachable(self.state, now)
+            worker_starts.start_refused(self.state, call.name, "unreachable")
+            return
         if self.rng.random() < self.delayed_share:
             delay = self.rng.uniform(0.05, 6.0)
             self.delayed_starts.append(DelayedStart(call, now + delay))
--- a/tests/scheduling/fuzz/world.py
+++ b/tests/scheduling/fuzz/world.py
@@ -469,6 +469,7 @@
         for agent in self.agents:
             agent.is_paused = False
             agent.delayed_share = 0.0
+            agent.is_worker_reachable = True
             if agent.state is None:
                 agent.start(self.now)
         for link in list(self.links.values()):
