Blame no start for the crash that it has found

The worker had crashed before, through a task that had just started; the refused start was the first to notice, and as a known suspect it hid the guilty task.

Cause: the agent reported the crash before it removed the refused run, and a start without an answer counted as a known suspect.

Both new tests fail without the change.

--- a/tests/scheduling/fuzz/worker_model.py
+++ b/tests/scheduling/fuzz/worker_model.py
@@ -243,8 +243,8 @@
 
     def _request_start(self, call, now):
         if not self._can_call(now):
-            worker_crashes.worker_unreachable(self.state, now)
             worker_starts.start_refused(self.state, call.name, "unreachable")
+            worker_crashes.worker_unreachable(self.state, now)
             return
         if self.rng.random() < self.delayed_share:
             delay = self.rng.uniform(0.05, 6.0)
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -168,7 +168,7 @@
         if call is None:
             return None
         if self.down_until is not None:
-            self.has_changed = worker_crashes.worker_unreachable(self.state, now)
+            self.has_changed |= worker_crashes.worker_unreachable(self.state, now)
             worker_lists.lease_renewal_not_sent(self.state, call)
             return call
         ends = [end for end in self.worker.ends if end.number > call.last_seen]
@@ -190,10 +190,10 @@
             if isinstance(command, StartCall):
                 self.start_calls.append(command)
                 if self.down_until is not None:
-                    self.has_changed = worker_crashes.worker_unreachable(
+                    worker_starts.start_refused(self.state, command.name, "unreachable")
+                    self.has_changed |= worker_crashes.worker_unreachable(
                         self.state, now
                     )
-                    worker_starts.start_refused(self.state, command.name, "unreachable")
                 elif self.executes_calls:
                     self.worker.running[command.name] = now
                     self.worker.started.append(command.name)
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -6,6 +6,7 @@
     confinement,
     ownership,
     quarantine,
+    worker_crashes,
     worker_lists,
     worker_runs,
     worker_starts,
@@ -13,7 +14,12 @@
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.crash_history import Crash
 from turmericknot.scheduling.jobs import encode_record
-from turmericknot.scheduling.worker_types import LeaseRenewalResult
+from turmericknot.scheduling.worker_types import (
+    LeaseRenewalResult,
+    Run,
+    SendToEntries,
+)
+from turmericknot.wire.shard_messages import RunName
 
 from .site import JOB_ID, Entry, create_job_record, gain_shard
 from .test_stored import SHARD, submit
@@ -489,3 +495,49 @@
     deadly_site.deliver_all()
     assert agent.state.unreachable_since is not None
     assert entry.owner.crash_history.is_suspect(DEADLY_TASK)
+
+
+def test_start_that_finds_the_worker_down_has_not_crashed_it(create_site):
+    """A suspect that arrives just after a crash must not hide the guilty task."""
+    site = create_site(entries=2, agents=1)
+    guilty_entry, suspect_entry = site.entries.values()
+    [agent] = site.agents.values()
+    guilty = (JOB_ID, 0, 0)
+    guilty_entry.submit_best_effort(
+        "caller", site.now, job_record=create_job_record(tasks=1)
+    )
+    site.deliver_all()
+    suspect = ("00000000000000b2", 0, 0)
+    history = suspect_entry.owner.crash_history
+    history.record(suspect, "life", Crash(True, True, True, site.now))
+    agent.crash(site.now)
+    suspect_entry.submit_best_effort(
+        "caller",
+        site.now,
+        job=suspect[0],
+        job_record=create_job_record(tasks=1),
+    )
+    site.advance(0.2)
+    assert history.is_suspect(guilty)
+    assert history.count(suspect) == 1
+    site.advance(4.0)
+    assert history.count(guilty) == 1
+    assert history.count(suspect) == 1
+
+
+def test_unanswered_start_of_a_suspect_does_not_hide_the_guilty_task(create_site):
+    site = create_site(agents=1)
+    [agent] = site.agents.values()
+    state = agent.state
+    guilty, suspect = (RunName(JOB_ID, 0, index, 1) for index in range(2))
+    for name in (guilty, suspect):
+        run = state.runs[name] = Run(name, 1 << 20, start_sent_at=site.now)
+        run.is_confirmed = name == guilty
+        run.is_suspect = name == suspect
+    worker_crashes.report_crash(state, site.now)
+    [report] = [
+        command.message
+        for command in state.pop_commands()
+        if isinstance(command, SendToEntries)
+    ]
+    assert {task.index for task in report.tasks if task.is_suspect} == {0, 1}
--- a/turmericknot/model/agent.py
+++ b/turmericknot/model/agent.py
@@ -144,8 +144,8 @@
             self._clock.call_later(ANSWER_TIMEOUT_S, self._start_unanswered, call)
             return
         if self.worker.is_down:
-            self._record_unreachable()
             worker_starts.start_refused(self._state, call.name, "unreachable")
+            self._record_unreachable()
             return
         run_s = site.duration_of(call.name)
         self._clock.call_later(site.call_delay_s, self.worker.start, call.name, run_s)
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -235,10 +235,11 @@
                 await self._worker_client.start(call, lambda: self._may_send(call))
         except WorkerRefused as error:
             self._log.info("start.refused", job=call.name.job, reason=error.reason)
-            self._record_refusal(error)
             if error.reason == "fence" and call.fence >= self._runs.fence:
                 worker_runs.fence_refused(self._runs, steady_time())
+            # Removes the run, which has no part in a crash that the refusal shows.
             worker_starts.start_refused(self._runs, call.name, error.reason)
+            self._record_refusal(error)
         except WorkerUnavailable as error:
             self._log.warning("start.unanswered", job=call.name.job, reason=str(error))
             worker_starts.start_unanswered(self._runs, call.name, steady_time())
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -140,11 +140,11 @@
 
     The worker was alive when it last answered; runs that were older than
     ``SUSPECT_AGE_S`` then are innocent, unless there are no others. A task that may
-    have crashed a worker before is the only suspect.
+    have crashed a worker before is the only suspect, if it has certainly started.
     """
     started_after = state.answered_at - SUSPECT_AGE_S
     recent = [run for run in runs if run.start_sent_at >= started_after]
-    known_suspects = [run for run in recent if run.is_suspect]
+    known_suspects = [run for run in recent if run.is_suspect and run.is_confirmed]
     return known_suspects or recent or runs
 
 
