--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -36,6 +36,12 @@
     return site
 
 
+def leave_one_agent(site, entry):
+    """Disconnect all agents but the first from the entry."""
+    for agent in list(site.agents.values())[1:]:
+        site.disconnect(entry, agent)
+
+
 def crashes_under(site, task):
     """Return the number of crashes of workers that ran the task."""
     return sum(
@@ -131,8 +137,7 @@
     entry = deadly_site.entries["entry-0"]
     agent = deadly_site.agents["agent-0"]
     agent.deadly_tasks.clear()
-    for other in list(deadly_site.agents.values())[1:]:
-        deadly_site.disconnect(entry, other)
+    leave_one_agent(deadly_site, entry)
     entry.submit_best_effort("caller", deadly_site.now, wait=60)
     deadly_site.advance(0.2)
     agent.report(deadly_site.now, usable=False)
@@ -146,8 +151,7 @@
     """Tasks beside a deadly one must not be taken for it."""
     entry = deadly_site.entries["entry-0"]
     agent = deadly_site.agents["agent-0"]
-    for other in list(deadly_site.agents.values())[1:]:
-        deadly_site.disconnect(entry, other)
+    leave_one_agent(deadly_site, entry)
     beside = "00000000000000b2"
     entry.submit_best_effort("beside", deadly_site.now, job=beside, wait=60)
     deadly_site.advance(0.5)
@@ -165,8 +169,7 @@
     entry = deadly_site.entries["entry-0"]
     agent = deadly_site.agents["agent-0"]
     agent.executes_calls = False
-    for other in list(deadly_site.agents.values())[1:]:
-        deadly_site.disconnect(entry, other)
+    leave_one_agent(deadly_site, entry)
     entry.submit_best_effort("caller", deadly_site.now, wait=60)
     deadly_site.deliver_all()
     for name in list(agent.state.runs):
@@ -230,8 +233,7 @@
     entry = deadly_site.entries["entry-0"]
     agent = deadly_site.agents["agent-0"]
     agent.deadly_tasks.clear()
-    for other in list(deadly_site.agents.values())[1:]:
-        deadly_site.disconnect(entry, other)
+    leave_one_agent(deadly_site, entry)
     entry.submit_best_effort("caller", deadly_site.now, wait=60)
     deadly_site.advance(0.1)
     agent.crash(deadly_site.now, down_s=60)
@@ -337,8 +339,7 @@
     """It may have ended before the crash; a random walk gave up an innocent task."""
     entry = deadly_site.entries["entry-0"]
     agent = deadly_site.agents["agent-0"]
-    for other in list(deadly_site.agents.values())[1:]:
-        deadly_site.disconnect(entry, other)
+    leave_one_agent(deadly_site, entry)
     agent.deadly_tasks.clear()
     entry.submit_best_effort("caller", deadly_site.now, wait=60)
     deadly_site.advance(0.1)
@@ -484,8 +485,7 @@
     """A worker may restart under its id, and answer before it reports itself."""
     entry = deadly_site.entries["entry-0"]
     agent = deadly_site.agents["agent-0"]
-    for other in list(deadly_site.agents.values())[1:]:
-        deadly_site.disconnect(entry, other)
+    leave_one_agent(deadly_site, entry)
     entry.submit_best_effort("caller", deadly_site.now, wait=60)
     deadly_site.advance(0.1)
     agent.deadly_tasks.clear()
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -2,23 +2,20 @@
 
 from turmericknot.wire import shard_messages as wire
 
-from . import besteffort, workers
+from . import besteffort, crash_reports, workers
 from .commands import SendMessage
-from .crash_history import Crash
 from .job_requests import acknowledge_cancel
-from .jobs import CrashedRun, JobState, RunEnd, TaskStatus
+from .jobs import JobState, RunEnd, TaskStatus
 from .owner import (
     RUN_NUMBERS_PER_EPOCH,
     count_failure,
     defer_acknowledgement,
     granted_shards,
     log,
-    record_progress,
     release_capacity,
     send_acknowledgements,
     send_stop,
     stop_run,
-    store_job,
 )
 from .pending import dequeue_task, enqueue_ready_steps
 from .runs import (
@@ -54,7 +51,7 @@
         case wire.RoomReport():
             foreign_usage_reported(owner, agent_id, message)
         case wire.WorkerCrashed():
-            worker_crashed(owner, agent_id, message, now)
+            crash_reports.worker_crashed(owner, agent_id, message, now)
         case wire.WorkerChanged():
             worker_changed(owner, agent_id, message.worker, now)
 
@@ -109,71 +106,6 @@
     )
 
 
-def worker_crashed(owner, agent_id, report, now):
-    """Hold the crash of a worker against the tasks that it had runs of.
-
-    The crashes under tasks of durable jobs are stored for a later owner. Those under
-    tasks that this entry does not own count if they are submitted or taken over later.
-    """
-    if report.is_withdrawn:
-        owner.confinement.withdraw(report.life)
-    else:
-        owner.confinement.record(report.life, report.tasks, now - report.age_s)
-    changed_tasks = [
-        task
-        for task in report.tasks
-        if _record_crash(owner, report, task, now - report.age_s)
-    ]
-    if not changed_tasks:
-        return
-    log(
-        owner,
-        "crash.reported",
-        agent=agent_id,
-        life=report.life,
-        confirmed=report.is_confirmed,
-        withdrawn=report.is_withdrawn,
-        tasks=len(report.tasks),
-        suspects=sum(task.is_suspect for task in report.tasks),
-    )
-    changed_jobs = {}
-    for task in changed_tasks:
-        job = _find_durable_job(owner, task.job)
-        if job is not None and job.task(task.step, task.index) is not None:
-            _record_crashed_run(job, report, task)
-            changed_jobs[job.id] = job
-    for job in changed_jobs.values():
-        if job.is_active:
-            record_progress(job)
-            store_job(owner, job, None)
-
-
-def _record_crash(owner, report, task, reported_at):
-    key = (task.job, task.step, task.index)
-    if report.is_withdrawn:
-        return owner.crash_history.withdraw(key, report.life)
-    crash = Crash(task.is_suspect, task.has_started, report.is_confirmed, reported_at)
-    return owner.crash_history.record(key, report.life, crash)
-
-
-def _record_crashed_run(job, report, task):
-    """Update the crashes under a task in the record of its job."""
-    key = (task.step, task.index, report.life)
-    job.record.crashed_runs = [
-        run for run in job.record.crashed_runs if (run.step, run.index, run.life) != key
-    ]
-    if not report.is_withdrawn:
-        run = CrashedRun(*key, task.is_suspect, task.has_started, report.is_confirmed)
-        job.record.crashed_runs.append(run)
-
-
-def _find_durable_job(owner, job_id):
-    for shard in owner.shards.values():
-        if shard.is_durable and job_id in shard.jobs:
-            return shard.jobs[job_id]
-    return None
-
-
 def grant_request_received(owner, agent_id, sequence, now):
     """Confirm the ownership of the shards to an agent."""
     view = owner.agents.get(agent_id)
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -4,7 +4,7 @@
 
 from turmericknot.wire.shard_messages import RunName, RunStart, StartRuns
 
-from . import besteffort, confinement, quarantine, workers
+from . import besteffort, confinement, crash_reports, quarantine, workers
 from .commands import SendMessage, StoreRecord
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
@@ -316,7 +316,7 @@
 
 def tick(owner, now):
     """Act on everything that depends on time alone; called several times a second."""
-    update_confined_queues(owner, now)
+    crash_reports.update_confined_queues(owner, now)
     _expire_agents(owner, now)
     besteffort.end_overdue_jobs(owner, now)
     for shard in owner.shards.values():
@@ -330,18 +330,6 @@
     schedule_tasks(owner, now)
 
 
-def update_confined_queues(owner, now):
-    """Confine the queues whose tasks crash workers, and release the others."""
-    worker_count = sum(view.worker is not None for view in owner.agents.values())
-    confined = owner.confinement.confined_queues(worker_count, now)
-    if confined == owner.confined_queues:
-        return
-    log(owner, "queues.confined", queues=",".join(confined))
-    owner.confined_queues = confined
-    for agent_id in owner.agents:
-        owner.placement_events.capacity_freed(agent_id)
-
-
 def _expire_agents(owner, now):
     """Give up the runs of agents whose grants have expired.
 
