--- a/turmericknot/model/site.py
+++ b/turmericknot/model/site.py
@@ -184,7 +184,7 @@
         return self._durations[name.job, name.step, name.index]
 
     def crash_delay_of(self, name):
-        """Return the seconds until a run crashes its worker, or None."""
+        """Return the seconds until a run crashes its worker, or None; count it."""
         result = self._deadly_tasks.get((name.job, name.step, name.index))
         if result is None:
             return None
