Start no task in a failure domain that the operator has evacuated

Cause: the operator's records evacuate/DOMAIN were ignored.

An agent follows the word with the highest position and refuses starts, queued ones and calls that are not sent yet included; owners place nothing there and count no capacity there. Jobs that could only run there are refused. Workers that are cold after their start come after the others with capacity.

--- a/tests/node/test_operator.py
+++ b/tests/node/test_operator.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from tests.standins.store import StoreStandin
-from turmericknot.node.operator import follow_configuration
+from turmericknot.node.operator import follow_operator
 from turmericknot.platform.store import create_store
 
 
@@ -23,8 +23,10 @@
         store = create_store(standin.address, standin.partitions)
         versions = []
         follower = asyncio.create_task(
-            follow_configuration(
-                store, lambda configuration: versions.append(configuration.version)
+            follow_operator(
+                store,
+                lambda configuration: versions.append(configuration.version),
+                lambda domains, position: None,
             )
         )
         try:
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -21,6 +21,7 @@
     worker_id_from_path,
 )
 from turmericknot.scheduling import (
+    evacuation,
     worker_crashes,
     worker_leases,
     worker_lists,
@@ -164,8 +165,13 @@
             "entries_connected": self._entries.connected_count,
             "worker_present": int(runs.life is not None),
             "runs_known": int(runs.is_synced),
+            "evacuated": int(runs.evacuation.is_evacuated),
         }
-        return {"runs_ended": runs.last_listed_end}, gauges
+        counters = {
+            "runs_ended": runs.last_listed_end,
+            "starts_refused_evacuated": runs.evacuation.refused_starts,
+        }
+        return counters, gauges
 
     async def _drain(self):
         """Refuse new runs and wait until the present ones have ended."""
@@ -442,6 +448,9 @@
                     self._entries.request_grant(link, now)
             case wire.StopRuns():
                 worker_starts.stop_runs(runs, stream, message, now)
+            case wire.EvacuationUpdate():
+                if evacuation.update_received(runs, message, link.name):
+                    worker_starts.start_queued_runs(runs, now)
             case wire.NoteEnds():
                 worker_leases.ends_acknowledged(runs, message.life, message.numbers)
                 if runs.first_durable_end is None:
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import signal
 import time
@@ -17,6 +18,7 @@
 from turmericknot.platform.store import create_store
 from turmericknot.scheduling import (
     besteffort,
+    evacuation,
     job_requests,
     owner as decisions,
     reports,
@@ -39,7 +41,7 @@
 from .constants import REDIAL_LIMIT_S, SHARD_COUNT
 from .membership import create_membership
 from .metrics import start_metrics_server
-from .operator import follow_configuration
+from .operator import follow_operator
 from .peers import PROBE_INTERVAL_S, create_peers, member_name
 from .registrar import create_registrar
 from .requests import RemoteWaiter, create_requests, deliver_answer
@@ -138,6 +140,8 @@
             finished_job_retention_s=settings.bounds.keep_s + STATE_RETENTION_MARGIN_S
         )
         self.owner = create_owner(times, random.Random(boot_id), steady_time())
+        # Nothing starts before it is known which failure domains are evacuated.
+        self.owner.paused_until = math.inf
         self.store = create_store(settings.store.address, settings.store.partitions)
         callbacks = LinkCallbacks(
             self._on_opened,
@@ -283,6 +287,15 @@
         server.limits.header_timeout_s = configuration.limits.header_timeout_s
         server.limits.idle_timeout_s = configuration.limits.idle_timeout_s
 
+    def apply_evacuations(self, domains, position):
+        """Apply the evacuations of the operator's topic up to a position."""
+        owner, now = self.owner, steady_time()
+        if owner.evacuations.position is None:
+            owner.paused_until = now
+        evacuation.topic_read(owner, domains, position, now)
+        runs.schedule_tasks(owner, now)
+        self.execute_commands()
+
     async def handle_request(self, request):
         """Handle a client's request."""
         configuration = self.configuration
@@ -403,11 +416,12 @@
             self.links.traffic,
         )
         self.log.info("entry.started", member=self.member)
-        configuration_loop = follow_configuration(
+        operator_loop = follow_operator(
             self.store,
             lambda configuration: self.apply_configuration(configuration, server),
+            self.apply_evacuations,
         )
-        start_background_task(configuration_loop, "configuration", self.on_task_failure)
+        start_background_task(operator_loop, "operator", self.on_task_failure)
         for create_coroutine, name in (
             (self._registrar.run, "register"),
             (self._run_ticks, "tick"),
@@ -440,6 +454,7 @@
             "agents_usable": len(usable_agents),
             "configuration_version": version,
             "store_reachable": int(self.membership.is_joined),
+            **evacuation.metric_values(owner),
         }
         return owner.counts, gauges
 
@@ -481,7 +496,8 @@
                 self.log.warning(
                     "process.stalled", seconds=round(now - last_tick_at, 2)
                 )
-                self.owner.paused_until = now + PAUSE_AFTER_STALL_S
+                paused_until = max(self.owner.paused_until, now + PAUSE_AFTER_STALL_S)
+                self.owner.paused_until = paused_until
             last_tick_at = now
             runs.tick(self.owner, now)
             if self.configuration is not None:
--- a/turmericknot/node/worker_state.py
+++ b/turmericknot/node/worker_state.py
@@ -26,11 +26,14 @@
 def encode_worker_life(life):
     """Encode a WorkerLife; return no bytes for None.
 
-    The clock and the sequence number are left out, because every report changes them.
+    The clock, the sequence number and the time that the worker remains cold are left
+    out, because every report changes them.
     """
     if life is None:
         return b""
-    stored_life = replace(life, clock=0.0, clock_at=0.0, sequence=STORED_SEQUENCE)
+    stored_life = replace(
+        life, clock=0.0, clock_at=0.0, sequence=STORED_SEQUENCE, cold_s=0.0
+    )
     return msgspec.msgpack.encode(stored_life)
 
 
--- a/turmericknot/platform/store.py
+++ b/turmericknot/platform/store.py
@@ -56,10 +56,14 @@
 
 @dataclass(slots=True)
 class RecordPage:
-    """Records that were read together; ``next_offset`` is the offset after them."""
+    """Records that were read together; ``next_offset`` is the offset after them.
+
+    A snapshot has the newest record of every key: others have been removed.
+    """
 
     next_offset: int
     records: list
+    is_snapshot: bool = False
 
 
 class _JoinReply(msgspec.Struct):
@@ -202,6 +206,23 @@
     ):
         """Yield the KeyedRecords of a topic, newest of each key first; never ends.
 
+        The parameters are those of ``follow_pages``.
+        """
+        pages = self.follow_pages(
+            topic, wait_s, retry_delay_s, purpose, eager_s, pause_s
+        )
+        async for page in pages:
+            for record in page.records:
+                yield record
+
+    async def follow_pages(
+        self, topic, wait_s, retry_delay_s, purpose, eager_s=math.inf, pause_s=0.0
+    ):
+        """Yield a topic as RecordPages, a snapshot first; never ends.
+
+        Another snapshot follows when the store has dropped records before they were
+        read. It is the only sign of keys that were removed by then.
+
         A poll lasts ``wait_s`` at most, so that a dead connection is noticed.
         ``purpose`` names the topic in log lines. After the first ``eager_s``, polls are
         ``pause_s`` apart, so that one poll returns many records.
@@ -214,10 +235,11 @@
                 await asyncio.sleep(pause_s)
             try:
                 if offset is None:
-                    offset, records = await self.read_newest(topic, 0)
+                    end_offset, records = await self.read_newest(topic, 0)
+                    page = RecordPage(end_offset, records, is_snapshot=True)
                 else:
                     page = await self.poll(topic, 0, offset, wait_s)
-                    offset, records = page.next_offset, page.records
+                offset = page.next_offset
             except RecordsTrimmed:
                 offset = None
                 continue
@@ -230,8 +252,7 @@
             if not is_reachable:
                 is_reachable = True
                 get_logger().info("store.regained", use=purpose)
-            for record in records:
-                yield record
+            yield page
 
     def close(self):
         """Close all connections."""
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -56,6 +56,7 @@
     seq: int  # increases with each report since a start of the worker
     labels: list[str] = []
     born: int = 0  # start time of the worker in Unix milliseconds
+    cold_left_ms: float = 0.0  # how much longer it remains slow after its start
 
 
 class _RefusalBody(msgspec.Struct):
@@ -255,6 +256,7 @@
         clock=report.clock_ms / 1000,
         clock_at=now,
         sequence=report.seq,
+        cold_s=max(0.0, report.cold_left_ms / 1000),
     )
 
 
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -2,7 +2,7 @@
 
 import math
 
-from . import admission, confinement, workers
+from . import admission, confinement, evacuation, workers
 from .commands import Outcome, StoreRecord
 from .jobs import JobRecord, JobState, create_job, encode_record
 from .owner import (
@@ -63,11 +63,16 @@
             workers.fits_empty_worker(a.worker, step) for a in candidates
         ):
             return Outcome.REFUSED, admission.RETRY_MAX_S, "too_large"
+    is_every_worker_known = now >= owner.workers_known_at
+    if is_every_worker_known and evacuation.is_refused(
+        candidates, record, caller_wait_s
+    ):
+        return Outcome.REFUSED, admission.RETRY_MAX_S, evacuation.EVACUATED
     work, cores = work_and_cores(owner, record)
     delay = admission.refusal_delay_s(
         work, owner.run_times, record, cores, caller_wait_s
     )
-    if delay and now >= owner.workers_known_at:
+    if delay and is_every_worker_known:
         return (
             Outcome.REFUSED,
             delay,
--- a/turmericknot/scheduling/neighborhood.py
+++ b/turmericknot/scheduling/neighborhood.py
@@ -13,7 +13,7 @@
 
 import hashlib
 
-from .workers import is_connected_and_usable
+from .workers import has_usable_worker
 
 # Entries that an agent serves, besides those that lack agents of its service.
 ENTRIES_PER_AGENT = 10
@@ -59,10 +59,12 @@
     """Return the names of the services for which the entry has too few agents.
 
     ``services`` are those of the configuration; ``lacking_before`` is the last result.
+    Agents of an evacuated failure domain count: the others there would not help, and an
+    evacuation must not make all agents connect to all entries at once.
     """
     counts = dict.fromkeys(services, 0)
     for view in owner.agents.values():
-        if is_connected_and_usable(view) and view.worker.service in counts:
+        if has_usable_worker(view) and view.worker.service in counts:
             counts[view.worker.service] += 1
     return tuple(
         sorted(
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -7,7 +7,7 @@
 from turmericknot.utils import histograms
 from turmericknot.wire.shard_messages import NoteEnds, RunName, ShardEpoch, StopRuns
 
-from . import admission, workers
+from . import admission, evacuation, workers
 from .commands import AnswerRequest, OwnerLogLine, SendMessage, StoreRecord
 from .confinement import create_confinement
 from .crash_history import create_crash_history
@@ -91,6 +91,7 @@
         "placement_events",
         "backlog",
         "run_times",
+        "evacuations",
         "crash_history",
         "confinement",
         "confined_queues",
@@ -117,6 +118,7 @@
         self.placement_events = create_placement_events()
         self.backlog = admission.Backlog()
         self.run_times = create_run_times()
+        self.evacuations = evacuation.create_evacuations()
         self.crash_history = create_crash_history()
         self.confinement = create_confinement()
         self.confined_queues = ()  # names of the queues that may use a cell only
@@ -136,7 +138,9 @@
         cpu = sum(
             agent.worker.cpu - agent.foreign_cpu
             for agent in self.agents.values()
-            if agent.worker is not None and agent.worker.usable
+            if agent.worker is not None
+            and agent.worker.usable
+            and not agent.is_evacuated
         )
         return cpu / 1000
 
--- a/turmericknot/scheduling/quarantine.py
+++ b/turmericknot/scheduling/quarantine.py
@@ -64,10 +64,11 @@
 def serves(agent, service):
     """Return whether the worker of a connected agent belongs to the service.
 
-    The worker may be down.
+    The worker may be down, but not evacuated, which lasts for long.
     """
     return (
         agent.is_connected
+        and not agent.is_evacuated
         and agent.worker is not None
         and agent.worker.service == service
     )
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -2,7 +2,7 @@
 
 from turmericknot.wire import shard_messages as wire
 
-from . import besteffort, crash_reports, workers
+from . import besteffort, crash_reports, evacuation, workers
 from .commands import SendMessage
 from .job_requests import acknowledge_cancel
 from .jobs import JobState, RunEnd, TaskStatus
@@ -73,6 +73,7 @@
     # Completes the handshake, even if the entry owns no shard.
     greeting = wire.Grant(0, granted_shards(owner, now, view), on_demand=True)
     owner.commands.append(SendMessage(hello.agent, greeting))
+    evacuation.agent_connected(owner, view)
 
 
 def agent_disconnected(owner, agent_id, now):
@@ -90,6 +91,7 @@
     if view is None:
         return
     previous, view.worker = view.worker, worker
+    view.cold_until = now + worker.cold_s if worker is not None else 0.0
     is_new_life = worker is None or previous is None or previous.life != worker.life
     if is_new_life:
         view.consecutive_failures = 0
@@ -269,6 +271,8 @@
         return
     view.refusal_backoff_until = now + workers.REFUSAL_BACKOFF_S
     owner.placement_events.agent_returns_at(agent_id, view.refusal_backoff_until)
+    if any(refusal.reason == evacuation.EVACUATED for refusal in runs):
+        evacuation.start_refused(owner, view, now)
     for refusal in runs:
         owner.pending_stops.pop(refusal.name, None)
         owner.count("start_refused_" + refusal.reason)
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -6,6 +6,7 @@
 
 from . import besteffort, confinement, crash_reports, quarantine, workers
 from .commands import SendMessage, StoreRecord
+from .evacuation import is_out_of_reach, log_empty_domains
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
 from .owner import (
@@ -73,6 +74,7 @@
     candidates = {}  # shard number -> agents that may get its runs
     cells = {}  # service -> ids of the agents that confined queues may use
     avoided = {}  # service -> ids of the agents that other tasks should avoid
+    out_of_reach = {}  # shape of a task -> whether it can only run where evacuated
     for job in owner.waiting.jobs():
         if skipped > MAX_SKIPPED_JOBS:
             break
@@ -103,6 +105,8 @@
                     started_tasks.append(task)
                 continue
             task.suspect_since = None  # the crash has been withdrawn
+            if is_out_of_reach(owner, task, out_of_reach):
+                break
             service = job.record.service
             if service not in cells:
                 cells[service], avoided[service] = _divide_agents(owner, service, now)
@@ -319,6 +323,7 @@
     crash_reports.update_confined_queues(owner, now)
     _expire_agents(owner, now)
     besteffort.end_overdue_jobs(owner, now)
+    log_empty_domains(owner, now)
     for shard in owner.shards.values():
         if shard.awaited_agents and now >= shard.recovering_until:
             end_recovery(owner, shard, "grants of a previous owner expired", now)
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -9,7 +9,7 @@
 from turmericknot.core.ids import shard_of_job
 from turmericknot.wire.shard_messages import EndedRun, RunsEnded, WorkerReport
 
-from . import worker_crashes
+from . import evacuation, worker_crashes
 from .jobs import RunEnd
 from .worker_types import AgentLogLine, SendToOwner, StopCall
 
@@ -28,6 +28,9 @@
 # How long a recalled worker is used without a report. Workers report every 1.5 s, and
 # a draining worker must get no runs from 2 s after it has reported that.
 RECALLED_WORKER_TIMEOUT_S = 1.9
+# Owners count the time down that a worker remains cold. They are told when its report
+# differs from that by more than this.
+COLD_STEP_S = 0.5
 
 
 class WorkerRuns:
@@ -59,6 +62,7 @@
         "unreachable_since",
         "answered_at",
         "recent_crashes",
+        "evacuation",
         "commands",
     )
 
@@ -95,6 +99,7 @@
         self.unreachable_since = None
         self.answered_at = now  # when the worker last answered a call
         self.recent_crashes = OrderedDict()  # life -> (time, WorkerCrashed)
+        self.evacuation = evacuation.create_agent_evacuation()
         self.commands = []
 
     @property
@@ -169,6 +174,7 @@
         life.memory,
         life.accelerators,
         life.labels,
+        life.cold_s,
     )
 
 
@@ -213,6 +219,7 @@
             return False
         state.has_report = True
         changed = _described_state(previous) != _described_state(life)
+        changed |= abs(life.cold_s - _cold_s_at(previous, life.clock_at)) > COLD_STEP_S
         state.life = life
         return changed
     if previous is not None and life.born < previous.born:
@@ -232,6 +239,10 @@
     return (life.usable, life.cpu, life.memory, life.accelerators, life.labels)
 
 
+def _cold_s_at(life, now):
+    return max(0.0, life.cold_s - (now - life.clock_at))
+
+
 def worker_left(state, life_id, now):
     """Handle the exit of a worker; return whether it was the current one."""
     if state.life is None or state.life.id != life_id:
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -4,6 +4,7 @@
 
 from turmericknot.wire.shard_messages import EndedRun, RefusedRun, RunName, RunsRefused
 
+from .evacuation import EVACUATED
 from .jobs import RunEnd
 from .worker_crashes import is_suspect_on_probation
 from .worker_leases import has_valid_grant, lease_deadline_ms, may_start_runs
@@ -64,6 +65,9 @@
     waiting_priority = math.inf  # of the most urgent run without capacity
     is_guarded = is_suspect_on_probation(state, now)
     for run in queued:
+        if state.evacuation.is_evacuated:
+            start_refused(state, run.name, EVACUATED)
+            continue
         if not may_start_runs(state, run.shard, now):
             if now - run.queued_at > GRANT_WAIT_S:
                 start_refused(state, run.name, "no_grant")
@@ -102,10 +106,15 @@
     """Return whether a start may still be sent to the worker.
 
     The process may have been paused, or a connection may have taken long to open, since
-    the start was decided. The owner may have started the task elsewhere by then.
+    the start was decided. The owner may have started the task elsewhere by then, or the
+    failure domain may have been evacuated.
     """
     run = state.runs.get(call.name)
-    return run is not None and has_valid_grant(state, run.shard, now)
+    return (
+        run is not None
+        and has_valid_grant(state, run.shard, now)
+        and not state.evacuation.is_evacuated
+    )
 
 
 def expected_wait_s(state, run, now):
@@ -189,6 +198,9 @@
         or shard_grant.stream != stream
     ):
         return "fenced"
+    if state.evacuation.is_evacuated:
+        state.evacuation.refused_starts += 1
+        return EVACUATED
     life = state.life
     if life is None or life.key != request.life or not is_worker_usable(state):
         return "no_worker"
@@ -208,6 +220,9 @@
 
 def start_refused(state, name, reason):
     """Remove a run that the worker did not start, and notify its owner."""
+    if state.evacuation.is_evacuated and reason in ("no_grant", EVACUATED):
+        reason = EVACUATED  # also of a call that was not sent for this
+        state.evacuation.refused_starts += 1
     run = state.runs.pop(name, None)
     if run is not None:
         send(state, run.shard, RunsRefused(run.shard, [RefusedRun(name, reason)]))
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -27,6 +27,7 @@
     clock: float
     clock_at: float
     sequence: int = 0
+    cold_s: float = 0.0  # how much longer, at ``clock_at``, the worker is slow
 
     @property
     def key(self):
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -51,6 +51,8 @@
         "failed_jobs",
         "suspended_until",
         "refusal_backoff_until",
+        "is_evacuated",
+        "cold_until",
         "suspension_s",
         "is_probing",
     )
@@ -79,13 +81,25 @@
         self.failed_jobs = set()
         self.suspended_until = 0.0
         self.refusal_backoff_until = 0.0
+        self.is_evacuated = False  # the operator has evacuated its failure domain
+        self.cold_until = 0.0  # when the worker is no longer slow after its start
         self.suspension_s = MIN_SUSPENSION_S
         self.is_probing = False
 
 
+def has_usable_worker(agent):
+    """Return whether the agent is connected and its worker says that it takes runs."""
+    return agent.is_connected and agent.worker is not None and agent.worker.usable
+
+
 def is_connected_and_usable(agent):
     """Return whether the agent is connected and has a worker that takes runs."""
-    return agent.is_connected and agent.worker is not None and agent.worker.usable
+    return has_usable_worker(agent) and not agent.is_evacuated
+
+
+def is_cold(agent, now):
+    """Return whether the worker is still slow after its start, by its own report."""
+    return now < agent.cold_until
 
 
 def is_usable(agent, now):
@@ -159,9 +173,11 @@
 
     For many short tasks on workers of unequal speed, the fastest class of workers comes
     first, and the least used worker within it, so that the loss of one worker affects
-    few tasks of a job. At peak load, when all workers are full, the most urgent tasks
-    are queued at an agent, where they get the next free capacity before less urgent
-    tasks of any entry. Agents whose ids are in ``quarantined`` come last.
+    few tasks of a job. Workers that are cold come after the others that have capacity:
+    when a failure domain is taken back, work does not all move there. At peak load,
+    when all workers are full, the most urgent tasks are queued at an agent, where they
+    get the next free capacity before less urgent tasks of any entry. Agents whose ids
+    are in ``quarantined`` come last.
     """
     spec = task.spec
     overcommit = URGENT_OVERCOMMIT_SHARE if task.job.record.priority == 0 else 0.0
@@ -176,6 +192,7 @@
             agent.id in quarantined,
             is_full,
             agent.id in task.avoided_agents,
+            is_cold(agent, now),
             bool(spec.data_rack) and spec.data_rack not in worker.labels,
             0 if is_full else round(agent.slowdown / SLOWDOWN_STEP),
             # At a full worker, the waiting time grows with the work that is queued.
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -23,6 +23,7 @@
     memory: int
     accelerators: int
     labels: list[str]
+    cold_s: float = 0.0  # how much longer the worker is slow after its start
 
 
 class AgentHello(Message, tag=60):
@@ -290,6 +291,16 @@
     pending: dict[str, int]
 
 
+class EvacuationUpdate(Message, tag=81):
+    """Tell an agent whether the operator has evacuated its failure domain.
+
+    ``position`` is the offset in the operator's topic up to which the entry had read.
+    """
+
+    position: int
+    is_evacuated: bool
+
+
 SHARD_MESSAGES = (
     AgentHello
     | WorkerChanged
@@ -312,4 +323,5 @@
     | RoomReport
     | RunsProgress
     | WorkerCrashed
+    | EvacuationUpdate
 )
