Test evacuations at peak load, by old words and over removals

Cause: an evacuation takes a third of the workers away while starts are in flight and entries differ in what they have read.

Change: tests in memory and against the stand-in of the store. Tasks that could only run where evacuated hold up neither other tasks nor the admission.

--- a/tests/node/test_operator.py
+++ b/tests/node/test_operator.py
@@ -1,4 +1,4 @@
-"""Following the operator's configuration over gaps, outages and malformed records."""
+"""Following the operator's topic over gaps, outages and malformed records."""
 
 import asyncio
 import contextlib
@@ -14,19 +14,26 @@
     return msgspec.json.encode({"version": version, "routes": [], "limits": {}})
 
 
-def run_with_follower(test):
-    """Run ``test(standin, versions)`` while a follower collects applied versions."""
+def run_with_follower(test, evacuations=None, records=()):
+    """Run ``test(standin, versions)`` while a follower collects applied versions.
+
+    ``evacuations`` collects the evacuated failure domains and the position. ``records``
+    precede the start of the follower.
+    """
+    evacuations = evacuations if evacuations is not None else []
 
     async def main():
         standin = StoreStandin()
         await standin.start()
+        for key, value in records:
+            standin.put("keyed.op", key, value)
         store = create_store(standin.address, standin.partitions)
         versions = []
         follower = asyncio.create_task(
             follow_operator(
                 store,
                 lambda configuration: versions.append(configuration.version),
-                lambda domains, position: None,
+                lambda *word: evacuations.append(word),
             )
         )
         try:
@@ -90,3 +97,60 @@
         await wait_until(lambda: versions == [1, 2])
 
     run_with_follower(test)
+
+
+EVACUATE_A, EVACUATE_B = ("evacuate/a", b"{}"), ("evacuate/b", b"{}")
+
+
+def test_restarted_entry_reads_evacuations_at_once():
+    """The first page must show all that is in force, without what was removed."""
+    evacuations = []
+
+    async def test(standin, versions):
+        await wait_until(lambda: versions == [1])
+
+    records = [("config", encode_document(1)), EVACUATE_A, EVACUATE_B]
+    run_with_follower(test, evacuations, [*records, ("evacuate/a", b"")])
+    assert evacuations == [(frozenset("b"), 4)]
+
+
+def test_evacuations_come_and_go():
+    """Several at once, repeated and malformed records, one removed as another comes."""
+    evacuations = []
+
+    async def test(standin, versions):
+        await wait_until(lambda: evacuations == [(frozenset(), 0)])
+        for key, value in (
+            EVACUATE_A,
+            EVACUATE_A,
+            ("evacuate/", b"{}"),
+            ("evacuate/b", b"\xff"),
+            ("evacuate/a", b""),
+            ("config", b"{damaged"),
+            EVACUATE_A,
+        ):
+            standin.put("keyed.op", key, value)
+        await wait_until(lambda: evacuations[-1][1] == 7)
+        assert evacuations[-1][0] == frozenset("ab")
+        standin.put("keyed.op", "evacuate/b", b"")
+        await wait_until(lambda: evacuations[-1] == (frozenset("a"), 8))
+
+    run_with_follower(test, evacuations)
+
+
+def test_removal_while_the_store_was_away():
+    """The record of the removal is gone as well: only the snapshot shows it."""
+    evacuations = []
+
+    async def test(standin, versions):
+        await wait_until(lambda: evacuations == [(frozenset("ab"), 2)])
+        standin.refuse_calls = True
+        await asyncio.sleep(1.0)
+        partition = standin.partition("keyed.op")
+        partition.records = []
+        partition.first_offset = 50
+        standin.put("keyed.op", *EVACUATE_B)
+        standin.refuse_calls = False
+        await wait_until(lambda: evacuations[-1] == (frozenset("b"), 51))
+
+    run_with_follower(test, evacuations, [EVACUATE_A, EVACUATE_B])
--- a/tests/scheduling/delivery.py
+++ b/tests/scheduling/delivery.py
@@ -1,6 +1,12 @@
 """Delivery of messages between owners and agents, as their processes do it."""
 
-from turmericknot.scheduling import reports, runs, worker_leases, worker_starts
+from turmericknot.scheduling import (
+    evacuation,
+    reports,
+    runs,
+    worker_leases,
+    worker_starts,
+)
 from turmericknot.wire import shard_messages as wire
 
 
@@ -20,6 +26,9 @@
             worker_starts.stop_runs(state, stream, message, now)
         case wire.NoteEnds():
             worker_leases.ends_acknowledged(state, message.life, message.numbers)
+        case wire.EvacuationUpdate():
+            if evacuation.update_received(state, message, "entry"):
+                worker_starts.start_queued_runs(state, now)
 
 
 def deliver_to_owner(owner, agent, message, now):
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -91,9 +91,10 @@
 class Agent:
     """An agent and its worker."""
 
-    def __init__(self, name, cpu=4000):
+    def __init__(self, name, cpu=4000, failure_domain="d"):
         self.name = name
         self.cpu = cpu
+        self.failure_domain = failure_domain
         self.worker = Worker()
         self.state = None
         self.boot = 0
@@ -236,7 +237,8 @@
         self.links.add((entry.name, agent.name))
         self.stream_numbers[entry.name, agent.name] = self.last_stream
         report = worker_runs.worker_report(agent.state)
-        hello = wire.AgentHello(1, agent.name, str(agent.boot), "d", report)
+        domain = agent.failure_domain
+        hello = wire.AgentHello(1, agent.name, str(agent.boot), domain, report)
         reports.agent_connected(entry.owner, hello, self.now)
         self.renew_grant(entry, agent)
         for message in worker_crashes.recent_crash_reports(agent.state, self.now):
--- a/turmericknot/scheduling/evacuation.py
+++ b/turmericknot/scheduling/evacuation.py
@@ -12,7 +12,7 @@
 
 from turmericknot.wire.shard_messages import EvacuationUpdate
 
-from . import workers
+from . import pending, workers
 from .commands import OwnerLogLine, SendMessage
 from .worker_types import AgentLogLine
 
@@ -27,11 +27,13 @@
 class Evacuations:
     """The evacuated failure domains, as an entry has read them."""
 
-    __slots__ = ("position", "domains")
+    __slots__ = ("position", "domains", "out_of_reach")
 
     def __init__(self):
         self.position = None  # up to which the operator's topic was read; None: not yet
         self.domains = {}  # failure domain -> time of the evacuation, None: runs ended
+        # Shape of a task -> whether it could only run where evacuated.
+        self.out_of_reach = {}
 
 
 def topic_read(owner, domains, position, now):
@@ -49,6 +51,8 @@
             _evacuate(owner, domain, now)
         else:
             _take_back(owner, domain, now)
+    if changed:
+        pending.reach_changed(owner)
     for view in owner.agents.values():
         if view.is_connected and (is_first_read or view.failure_domain in changed):
             _send_update(owner, view)
@@ -132,44 +136,11 @@
     if all(agent.is_evacuated for agent in agents):
         return True
     return caller_wait_s < math.inf and any(
-        fits_only_evacuated(agents, record.service, step) for step in record.steps
+        workers.fits_only_evacuated(agents, record.service, step)
+        for step in record.steps
     )
 
 
-def fits_only_evacuated(agents, service, spec):
-    """Return whether all workers that a task could run on are evacuated."""
-    is_any_fitting = False
-    for agent in agents:
-        worker = agent.worker
-        if worker is None or worker.service != service:
-            continue
-        if workers.fits_empty_worker(worker, spec):
-            if not agent.is_evacuated:
-                return False
-            is_any_fitting = True
-    return is_any_fitting
-
-
-def is_out_of_reach(owner, task, known):
-    """Return whether a task has to wait for a failure domain to be taken back.
-
-    Such a task does not hold up those behind it. ``known`` keeps the results of a pass.
-    """
-    if not owner.evacuations.domains:
-        return False
-    spec, service = task.spec, task.job.record.service
-    shape = (
-        service,
-        spec.required_label,
-        spec.cpu,
-        spec.memory,
-        spec.accelerators,
-    )
-    if shape not in known:
-        known[shape] = fits_only_evacuated(owner.agents.values(), service, spec)
-    return known[shape]
-
-
 def metric_values(owner):
     """Return the gauges of an entry by name."""
     evacuated = [view for view in owner.agents.values() if view.is_evacuated]
--- a/turmericknot/scheduling/pending.py
+++ b/turmericknot/scheduling/pending.py
@@ -1,6 +1,6 @@
 """Adding tasks to the waiting list, and removing them."""
 
-from . import admission
+from . import admission, workers
 from .jobs import TaskStatus
 
 
@@ -24,15 +24,59 @@
     if task.job.is_active:
         owner.waiting.add(task)
         owner.placement_events.job_waits(task.job)
-        # A suspect waits for its turn in the quarantine; the others do not wait for it.
-        is_suspect = owner.crash_history.is_suspect(task.key)
-        task.backlog_work = 0.0 if is_suspect else expected_work(task)
+        task.backlog_work = _backlog_work(owner, task)
         record = task.job.record
         is_confined = record.queue in owner.confined_queues
         task.backlog_level = record.queue if is_confined else record.priority
         owner.backlog.add(task.backlog_level, task.backlog_work)
 
 
+def _backlog_work(owner, task):
+    """Return the core-seconds of a task that others have to wait for.
+
+    A suspect waits for its turn in the quarantine, and a task out of reach for its
+    failure domain: the others do not wait for them.
+    """
+    if owner.crash_history.is_suspect(task.key) or is_out_of_reach(owner, task):
+        return 0.0
+    return expected_work(task)
+
+
+def is_out_of_reach(owner, task):
+    """Return whether a task has to wait until an evacuation is over."""
+    if not owner.evacuations.domains:
+        return False
+    known = owner.evacuations.out_of_reach
+    service, spec = task.job.record.service, task.spec
+    shape = (
+        service,
+        spec.required_label,
+        spec.cpu,
+        spec.memory,
+        spec.accelerators,
+    )
+    if shape not in known:
+        agents = owner.agents.values()
+        known[shape] = workers.fits_only_evacuated(agents, service, spec)
+    return known[shape]
+
+
+def is_job_out_of_reach(owner, job):
+    """Return whether the next task of a waiting job is out of reach."""
+    tasks = owner.waiting.tasks(job)
+    return bool(tasks) and is_out_of_reach(owner, tasks[-1])
+
+
+def reach_changed(owner):
+    """Adjust the backlog to a change of the evacuated failure domains."""
+    owner.evacuations.out_of_reach.clear()
+    for job in owner.waiting.jobs():
+        for task in owner.waiting.tasks(job):
+            work = _backlog_work(owner, task)
+            owner.backlog.add(task.backlog_level, work - task.backlog_work)
+            task.backlog_work = work
+
+
 def dequeue_task(owner, task):
     """Remove a task from the waiting list."""
     owner.waiting.remove(task)
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -92,6 +92,7 @@
         return
     previous, view.worker = view.worker, worker
     view.cold_until = now + worker.cold_s if worker is not None else 0.0
+    owner.evacuations.out_of_reach.clear()
     is_new_life = worker is None or previous is None or previous.life != worker.life
     if is_new_life:
         view.consecutive_failures = 0
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -4,9 +4,9 @@
 
 from turmericknot.wire.shard_messages import RunName, RunStart, StartRuns
 
-from . import besteffort, confinement, crash_reports, quarantine, workers
+from . import besteffort, confinement, crash_reports, pending, quarantine, workers
 from .commands import SendMessage, StoreRecord
-from .evacuation import is_out_of_reach, log_empty_domains
+from .evacuation import log_empty_domains
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
 from .owner import (
@@ -74,7 +74,6 @@
     candidates = {}  # shard number -> agents that may get its runs
     cells = {}  # service -> ids of the agents that confined queues may use
     avoided = {}  # service -> ids of the agents that other tasks should avoid
-    out_of_reach = {}  # shape of a task -> whether it can only run where evacuated
     for job in owner.waiting.jobs():
         if skipped > MAX_SKIPPED_JOBS:
             break
@@ -82,7 +81,7 @@
         if shard is None or shard.is_closing:
             continue
         if new_jobs is not None and new_jobs.pop(job.id, None) is None:
-            skipped += 1  # no agent had capacity for it
+            skipped += not pending.is_job_out_of_reach(owner, job)
             continue
         if usable_agents is None:
             views = [owner.agents[agent_id] for agent_id in agent_ids]
@@ -105,8 +104,8 @@
                     started_tasks.append(task)
                 continue
             task.suspect_since = None  # the crash has been withdrawn
-            if is_out_of_reach(owner, task, out_of_reach):
-                break
+            if pending.is_out_of_reach(owner, task):
+                continue
             service = job.record.service
             if service not in cells:
                 cells[service], avoided[service] = _divide_agents(owner, service, now)
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -142,6 +142,20 @@
     )
 
 
+def fits_only_evacuated(agents, service, spec):
+    """Return whether all workers that a task could run on are evacuated."""
+    is_any_fitting = False
+    for agent in agents:
+        worker = agent.worker
+        if worker is None or worker.service != service:
+            continue
+        if fits_empty_worker(worker, spec):
+            if not agent.is_evacuated:
+                return False
+            is_any_fitting = True
+    return is_any_fitting
+
+
 def choose_agent_from_sample(agents, task, now, rng, quarantined=frozenset()):
     """Return the agent for a task from a random sample, or from all if none fits.
 
