--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -4,8 +4,9 @@
 
 from turmericknot.wire.shard_messages import RunName, RunStart, StartRuns
 
-from . import besteffort, confinement, crash_reports, quarantine, workers
+from . import besteffort, confinement, crash_reports, pending, quarantine, workers
 from .commands import SendMessage, StoreRecord
+from .evacuation import log_empty_domains
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
 from .owner import (
@@ -80,7 +81,7 @@
         if shard is None or shard.is_closing:
             continue
         if new_jobs is not None and new_jobs.pop(job.id, None) is None:
-            skipped += 1  # no agent had capacity for it
+            skipped += not pending.is_job_out_of_reach(owner, job)
             continue
         if usable_agents is None:
             views = [owner.agents[agent_id] for agent_id in agent_ids]
@@ -103,6 +104,8 @@
                     started_tasks.append(task)
                 continue
             task.suspect_since = None  # the crash has been withdrawn
+            if pending.is_out_of_reach(owner, task):
+                continue
             service = job.record.service
             if service not in cells:
                 cells[service], avoided[service] = _divide_agents(owner, service, now)
@@ -319,6 +322,7 @@
     crash_reports.update_confined_queues(owner, now)
     _expire_agents(owner, now)
     besteffort.end_overdue_jobs(owner, now)
+    log_empty_domains(owner, now)
     for shard in owner.shards.values():
         if shard.awaited_agents and now >= shard.recovering_until:
             end_recovery(owner, shard, "grants of a previous owner expired", now)
