--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -56,6 +56,7 @@
     seq: int  # increases with each report since a start of the worker
     labels: list[str] = []
     born: int = 0  # start time of the worker in Unix milliseconds
+    cold_left_ms: float = 0.0  # how much longer it remains slow after its start
 
 
 class _RefusalBody(msgspec.Struct):
@@ -95,7 +96,14 @@
             "deadline_ms": call.deadline_ms,
             "fence_token": call.fence,
         }
-        reply = await self._post("/run-start", body, call.life, may_send=may_send)
+        reply = await self._post(
+            "/run-start",
+            body,
+            call.life,
+            call.answer_timeout_s,
+            may_send,
+            connect_timeout_s=WORKER_CALL_TIMEOUT_S,
+        )
         _raise_unless_accepted(reply)
 
     async def stop(self, call):
@@ -148,7 +156,13 @@
             return refusal.clock_ms / 1000
 
     async def _post(
-        self, path, body, life, timeout_s=WORKER_CALL_TIMEOUT_S, may_send=None
+        self,
+        path,
+        body,
+        life,
+        timeout_s=WORKER_CALL_TIMEOUT_S,
+        may_send=None,
+        connect_timeout_s=None,
     ):
         headers = (
             ("Content-Type", "application/json"),
@@ -157,7 +171,7 @@
         data = msgspec.json.encode(body)
         try:
             return await self.http_client.request(
-                "POST", path, data, headers, timeout_s, may_send
+                "POST", path, data, headers, timeout_s, may_send, connect_timeout_s
             )
         except CallWithdrawn as error:
             raise WorkerRefused("no_grant") from error
@@ -255,6 +269,7 @@
         clock=report.clock_ms / 1000,
         clock_at=now,
         sequence=report.seq,
+        cold_s=max(0.0, report.cold_left_ms / 1000),
     )
 
 
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -4,6 +4,7 @@
 
 from turmericknot.wire.shard_messages import EndedRun, RefusedRun, RunName, RunsRefused
 
+from .evacuation import EVACUATED
 from .jobs import RunEnd
 from .worker_crashes import is_suspect_on_probation
 from .worker_leases import has_valid_grant, lease_deadline_ms, may_start_runs
@@ -14,6 +15,10 @@
 # How long a queued run waits for the answer to a grant request. The owner gives the run
 # up after about the same time.
 GRANT_WAIT_S = 0.3
+# Limits of the wait for the answer to a start. The worker, on the same VM, answers
+# within milliseconds; an agent that is short of processor time needs some more.
+MIN_START_ANSWER_S = 0.03
+MAX_START_ANSWER_S = 0.2
 MIN_PROGRESS_PERCENT = 5  # less progress predicts the end of a run poorly
 
 
@@ -64,6 +69,9 @@
     waiting_priority = math.inf  # of the most urgent run without capacity
     is_guarded = is_suspect_on_probation(state, now)
     for run in queued:
+        if state.evacuation.is_evacuated:
+            start_refused(state, run.name, EVACUATED)
+            continue
         if not may_start_runs(state, run.shard, now):
             if now - run.queued_at > GRANT_WAIT_S:
                 start_refused(state, run.name, "no_grant")
@@ -102,10 +110,15 @@
     """Return whether a start may still be sent to the worker.
 
     The process may have been paused, or a connection may have taken long to open, since
-    the start was decided. The owner may have started the task elsewhere by then.
+    the start was decided. The owner may have started the task elsewhere by then, or the
+    failure domain may have been evacuated.
     """
     run = state.runs.get(call.name)
-    return run is not None and has_valid_grant(state, run.shard, now)
+    return (
+        run is not None
+        and has_valid_grant(state, run.shard, now)
+        and not state.evacuation.is_evacuated
+    )
 
 
 def expected_wait_s(state, run, now):
@@ -176,11 +189,24 @@
     if deadline_ms is None:
         start_refused(state, run.name, "no_lease")
         return
+    timeout_s = start_answer_timeout_s(run, now)
     state.commands.append(
-        StartCall(run.name, spec, state.fence, deadline_ms, state.life)
+        StartCall(run.name, spec, state.fence, deadline_ms, state.life, timeout_s)
     )
 
 
+def start_answer_timeout_s(run, now):
+    """Return how long to wait for the answer to a start.
+
+    When workers leave a few starts in a hundred unanswered, a wide job nearly always
+    has one of them. An urgent task can still be answered in time if it starts
+    elsewhere within half of its slack, so the call is given up by then. Giving up too
+    early costs one renewal, which shows whether the worker has the run.
+    """
+    slack_s = run.due_at - run.expected - now
+    return min(max(slack_s / 2, MIN_START_ANSWER_S), MAX_START_ANSWER_S)
+
+
 def _refusal_reason(state, shard_grant, stream, request, start, now):
     """Return why a run cannot start here, or an empty string."""
     if (
@@ -189,6 +215,9 @@
         or shard_grant.stream != stream
     ):
         return "fenced"
+    if state.evacuation.is_evacuated:
+        state.evacuation.refused_starts += 1
+        return EVACUATED
     life = state.life
     if life is None or life.key != request.life or not is_worker_usable(state):
         return "no_worker"
@@ -208,6 +237,9 @@
 
 def start_refused(state, name, reason):
     """Remove a run that the worker did not start, and notify its owner."""
+    if state.evacuation.is_evacuated and reason in ("no_grant", EVACUATED):
+        reason = EVACUATED  # also of a call that was not sent for this
+        state.evacuation.refused_starts += 1
     run = state.runs.pop(name, None)
     if run is not None:
         send(state, run.shard, RunsRefused(run.shard, [RefusedRun(name, reason)]))
