--- a/tests/node/platform_site.py
+++ b/tests/node/platform_site.py
@@ -155,7 +155,11 @@
             await worker.start()
             site.workers.append(worker)
             settings = _process_settings(site, name, ("reports",))
-            settings.update(worker_address=worker.address, service="service")
+            settings.update(
+                worker_address=worker.address,
+                service="service",
+                failure_domain=f"z{number}",
+            )
             site.settings[name] = settings
             site.start(name)
             report_loop = worker.send_reports(settings["reports_address"])
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -142,6 +142,8 @@
     life = workers.decode_worker_report("i-1", encode(REPORT), 9.0)
     assert (life.cpu, life.memory, life.usable) == (16000, 32768, True)
     assert (life.clock, life.clock_at, life.born) == (482.113, 9.0, 1791322888642)
+    cold = encode({**REPORT, "cold_left_ms": 2500})
+    assert workers.decode_worker_report("i-1", cold, 9.0).cold_s == 2.5
     draining = encode({**REPORT, "state": "draining"})
     assert not workers.decode_worker_report("i-1", draining, 9.0).usable
 
