Move runs off workers that leave before the runs can end

A worker that leaves at short notice takes with it every run that does not end in time. The owners learned of that only when the worker was gone, after such runs had worked in vain for almost their whole length.

The agent reads the least time left from the worker's report and tells each owner which of its runs may not end until then (WorkerLeaving, tag 83). The owner stops those for which another worker has capacity now and that certainly end sooner that way; their tasks wait again once the end is reported. Without a remaining time in the report nothing changes, but for two things on a draining worker: queued starts are refused with the report instead of at the next check or after the wait for a grant, and a start call that still waits for a connection is not sent.

A worker that cannot be reached after its announced time has left, so its tasks are no longer suspected of having crashed it.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -144,6 +144,10 @@
     assert (life.clock, life.clock_at, life.born) == (482.113, 9.0, 1791322888642)
     draining = encode({**REPORT, "state": "draining"})
     assert not workers.decode_worker_report("i-1", draining, 9.0).usable
+    for remaining_ms, leaves_at in ((None, None), (1600, 10.6), (-5, 9.0), ("1", None)):
+        body = {**REPORT, "state": "draining", "remaining_ms": remaining_ms}
+        life = workers.decode_worker_report("i-1", encode(body), 9.0)
+        assert (life.usable, life.leaves_at) == (False, leaves_at)
 
 
 @pytest.mark.parametrize(
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -3,6 +3,7 @@
 from turmericknot.scheduling import (
     besteffort,
     job_requests,
+    leaving,
     owner as decisions,
     ownership,
     reports,
@@ -108,6 +109,7 @@
         self.crashes_at = None
         self.down_until = None
         self.born = 1
+        self.leaves_at = None
 
     def restart(self, now, reports=True):
         """Start a new process of the agent; the worker goes on running."""
@@ -159,6 +161,7 @@
             clock=now,
             clock_at=now,
             sequence=self.sequence,
+            leaves_at=self.leaves_at,
         )
 
     def renew_lease(self, now):
@@ -251,6 +254,22 @@
                     self.entries[entry_name].owner, agent.name, report, self.now
                 )
 
+    def announce_leave(self, agent, seconds):
+        """Let the worker report that it leaves after this time at the earliest."""
+        agent.leaves_at = self.now + seconds
+        agent.report(self.now, usable=False)
+        self.send_worker_report(agent)
+        worker_starts.start_queued_runs(agent.state, self.now)
+        leaving.report_runs_at_risk(agent.state, self.now)
+        self.deliver_all()
+
+    def end_worker(self, agent):
+        """End the process of the worker, which tells its agent."""
+        agent.worker.running.clear()
+        worker_runs.worker_left(agent.state, agent.state.life.id, self.now)
+        self.send_worker_report(agent)
+        self.deliver_all()
+
     def disconnect(self, entry, agent):
         """Close the stream; both sides are notified."""
         stream = self.stream_numbers.pop((entry.name, agent.name))
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -231,3 +231,32 @@
         name for name in answered_at if answered_at[name] - submitted_at[name] <= 1.15
     ]
     assert len(in_time) >= 0.4 * len(submitted_at)
+
+
+def test_capacity_that_shrinks_and_grows_while_it_is_used(create_site):
+    """Runs that no longer fit go on; two owners do not both fill what comes back."""
+    site = create_site(entries=2, agents=1)
+    (agent,), entries = site.agents.values(), list(site.entries.values())
+
+    def submit(entry, job, tasks):
+        record = create_job_record(tasks, estimate=5.0, objective=20.0)
+        entry.submit_best_effort(job, site.now, job, record, wait=60.0)
+        site.deliver_all()
+
+    def resize(cpu):
+        agent.cpu = cpu
+        agent.report(site.now)
+        site.send_worker_report(agent)
+        site.advance(0.1)
+
+    submit(entries[0], "00000000000000a1", 4)
+    resize(2000)
+    assert [entry.owner.free_cores for entry in entries] == [2.0, 2.0]
+    for number, entry in enumerate(entries):
+        submit(entry, f"00000000000000b{number}", 3)
+    site.advance(0.5)
+    assert len(agent.worker.started) == 4
+    resize(6000)
+    site.advance(0.5)
+    assert (len(agent.worker.running), len(agent.worker.started)) == (6, 6)
+    assert agent.stop_calls == []
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -21,6 +21,7 @@
     worker_id_from_path,
 )
 from turmericknot.scheduling import (
+    leaving,
     worker_crashes,
     worker_leases,
     worker_lists,
@@ -201,6 +202,8 @@
         if worker_runs.worker_reported(self._runs, life, now):
             self._renew_now.set()
             self._entries.send_worker_report()
+            worker_starts.start_queued_runs(self._runs, now)
+        leaving.report_runs_at_risk(self._runs, now)
         self._worker_state.save(self._runs.life)
         self._execute_commands()
         return Response(200, b"{}")
--- a/turmericknot/node/worker_state.py
+++ b/turmericknot/node/worker_state.py
@@ -26,11 +26,14 @@
 def encode_worker_life(life):
     """Encode a WorkerLife; return no bytes for None.
 
-    The clock and the sequence number are left out, because every report changes them.
+    The clock, the sequence number and the time at which the worker leaves are left out,
+    because every report changes them.
     """
     if life is None:
         return b""
-    stored_life = replace(life, clock=0.0, clock_at=0.0, sequence=STORED_SEQUENCE)
+    stored_life = replace(
+        life, clock=0.0, clock_at=0.0, sequence=STORED_SEQUENCE, leaves_at=None
+    )
     return msgspec.msgpack.encode(stored_life)
 
 
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -56,6 +56,7 @@
     seq: int  # increases with each report since a start of the worker
     labels: list[str] = []
     born: int = 0  # start time of the worker in Unix milliseconds
+    remaining_ms: object = None  # least time left to a draining worker
 
 
 class _RefusalBody(msgspec.Struct):
@@ -255,9 +256,18 @@
         clock=report.clock_ms / 1000,
         clock_at=now,
         sequence=report.seq,
+        leaves_at=_decode_leaves_at(report, now),
     )
 
 
+def _decode_leaves_at(report, now):
+    """Return when a draining worker leaves at the earliest, or None if unknown."""
+    remaining_ms = report.remaining_ms
+    if report.state != "draining" or not _is_integer(remaining_ms):
+        return None
+    return now + max(0, remaining_ms) / 1000
+
+
 def worker_id_from_path(path):
     """Return the worker id in the path of a report, or an empty string."""
     return (
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -99,6 +99,8 @@
         "_flush_acknowledgements_at",
         "ownership_confirmed_at",
         "pending_stops",
+        "leaving_workers",
+        "moving_runs",
         "counts",
         "paused_until",
         "rng",
@@ -126,6 +128,10 @@
         self._flush_acknowledgements_at = 0.0
         self.ownership_confirmed_at = 0.0  # when the store last confirmed the ownership
         self.pending_stops = {}  # run name -> (agent id, shard, time of last request)
+        self.leaving_workers = {}  # agent id -> LeavingWorker
+        # Runs being moved off them: run name -> (agent id, StepSpec) of the capacity
+        # elsewhere that the move counts on.
+        self.moving_runs = {}
         self.counts = {}
         self.paused_until = 0.0  # nothing starts before this time
         self.is_shutting_down = False  # the process is about to end
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -2,10 +2,11 @@
 
 from turmericknot.wire import shard_messages as wire
 
-from . import besteffort, crash_reports, workers
+from . import besteffort, crash_reports, leaving_moves, workers
 from .commands import SendMessage
 from .job_requests import acknowledge_cancel
 from .jobs import JobState, RunEnd, TaskStatus
+from .moves import MOVE_OVERHEAD_S, move_run
 from .owner import (
     RUN_NUMBERS_PER_EPOCH,
     count_failure,
@@ -29,7 +30,6 @@
 SLOW_PACE_RATIO = 0.4
 # A run is moved if the rest of it takes this many times as long as a new run elsewhere.
 MIN_MOVE_SPEEDUP = 1.5
-MOVE_OVERHEAD_S = 0.3  # added for the stop and the start on another worker
 MAX_MOVES_PER_TASK = 2
 
 
@@ -48,6 +48,8 @@
             )
         case wire.RunsProgress():
             progress_reported(owner, agent_id, message, now)
+        case wire.WorkerLeaving():
+            leaving_moves.worker_leaving(owner, agent_id, message, now)
         case wire.RoomReport():
             foreign_usage_reported(owner, agent_id, message)
         case wire.WorkerCrashed():
@@ -322,16 +324,8 @@
         ):
             continue
         task.avoided_agents = (*task.avoided_agents, agent_id)
-        log(
-            owner,
-            "run.moved",
-            job=task.job.id,
-            task=f"{task.step}.{task.index}",
-            agent=agent_id,
-            pace=round(report.pace, 2),
-            left=round(remaining_s, 2),
-        )
-        stop_run(owner, task, now)
+        pace, left = round(report.pace, 2), round(remaining_s, 2)
+        move_run(owner, task, "slow", now, pace=pace, left=left)
 
 
 def _has_faster_worker(owner, task, view, now):
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -8,6 +8,7 @@
 from .commands import SendMessage, StoreRecord
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
+from .leaving_moves import move_runs
 from .owner import (
     RUN_NUMBERS_PER_EPOCH,
     flush_deferred_acknowledgements,
@@ -328,6 +329,7 @@
     demote_late_jobs(owner, now)
     flush_deferred_acknowledgements(owner, now)
     schedule_tasks(owner, now)
+    move_runs(owner, now)
 
 
 def _expire_agents(owner, now):
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -29,6 +29,7 @@
 
     The process has crashed, is just starting, or is cut off. Until it answers, nothing
     starts there: a worker without runs would look like the best choice to every owner.
+    A worker that was about to leave has left, so its tasks are not suspected.
     Return whether to notify the owners.
     """
     if state.life is None or state.unreachable_since is not None:
@@ -40,7 +41,9 @@
         life=state.life.key,
         runs=_describe_runs(_started_runs(state), now),
     )
-    report_crash(state, now, is_confirmed=False)
+    leaves_at = state.life.leaves_at
+    if leaves_at is None or now < leaves_at:
+        report_crash(state, now, is_confirmed=False)
     return True
 
 
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -3,6 +3,7 @@
 from turmericknot.wire.shard_messages import EndedRun
 
 from .jobs import RunEnd
+from .leaving import report_runs_at_risk
 from .worker_crashes import worker_answered
 from .worker_leases import check_grants, lease_deadline_ms, mark_synced
 from .worker_pace import check_progress
@@ -81,6 +82,7 @@
     if not state.is_synced and not listed_runs:
         mark_synced(state)
     start_queued_runs(state, now)
+    report_runs_at_risk(state, now)
 
 
 def _is_overtaken(state, call, result):
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -64,6 +64,9 @@
     waiting_priority = math.inf  # of the most urgent run without capacity
     is_guarded = is_suspect_on_probation(state, now)
     for run in queued:
+        if not is_worker_usable(state):
+            start_refused(state, run.name, "no_worker")
+            continue
         if not may_start_runs(state, run.shard, now):
             if now - run.queued_at > GRANT_WAIT_S:
                 start_refused(state, run.name, "no_grant")
@@ -72,9 +75,7 @@
         if run.has_waited_for_grant:
             run.has_waited_for_grant = False
             run.queued_at = now
-        if not is_worker_usable(state):
-            start_refused(state, run.name, "no_worker")
-        elif (
+        if (
             not is_guarded
             and run.pending_start.priority <= waiting_priority
             and _has_capacity(state, run)
@@ -102,10 +103,13 @@
     """Return whether a start may still be sent to the worker.
 
     The process may have been paused, or a connection may have taken long to open, since
-    the start was decided. The owner may have started the task elsewhere by then.
+    the start was decided. The owner may have started the task elsewhere by then, or the
+    worker may have said that it leaves.
     """
     run = state.runs.get(call.name)
-    return run is not None and has_valid_grant(state, run.shard, now)
+    return (
+        run is not None and state.life.usable and has_valid_grant(state, run.shard, now)
+    )
 
 
 def expected_wait_s(state, run, now):
@@ -123,7 +127,7 @@
             or other.pending_start.priority <= run.pending_start.priority
         ):
             free_cpu -= other.cpu
-            remaining.append((_remaining_s(other, now), other.cpu))
+            remaining.append((expected_remaining_s(other, now), other.cpu))
     if free_cpu >= 0:
         return 0.0
     for seconds, cpu in sorted(remaining):
@@ -133,7 +137,7 @@
     return math.inf
 
 
-def _remaining_s(run, now):
+def expected_remaining_s(run, now):
     """Return the expected remaining seconds of a run, from its progress."""
     if run.percent >= MIN_PROGRESS_PERCENT:
         elapsed = run.progressed_at - run.confirmed_at
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -14,6 +14,8 @@
     Holds what the worker reports. A restarted worker may keep its ``id``, but has a
     later ``born``, the start time of the process in Unix milliseconds (0 if unknown).
     ``clock`` is the worker's clock in seconds at the agent's time ``clock_at``.
+    ``leaves_at`` is the agent's time before which a leaving worker does not leave;
+    None if it does not leave, or has not said when.
     """
 
     id: str
@@ -27,6 +29,7 @@
     clock: float
     clock_at: float
     sequence: int = 0
+    leaves_at: float | None = None
 
     @property
     def key(self):
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -290,6 +290,25 @@
     pending: dict[str, int]
 
 
+class LeavingRun(msgspec.Struct, array_like=True, frozen=True):
+    """A run that cannot be relied on to end before its worker leaves."""
+
+    name: RunName
+    remaining_s: float  # expected time until it would end
+
+
+class WorkerLeaving(Message, tag=83):
+    """Tell an owner which of its runs its worker may leave behind unfinished.
+
+    ``remaining_s`` is the least time left to the worker. ``runs`` replaces the list of
+    an earlier message.
+    """
+
+    life: str
+    remaining_s: float
+    runs: list[LeavingRun]
+
+
 SHARD_MESSAGES = (
     AgentHello
     | WorkerChanged
@@ -312,4 +331,5 @@
     | RoomReport
     | RunsProgress
     | WorkerCrashed
+    | WorkerLeaving
 )
