--- a/tests/scheduling/test_leaving.py
+++ b/tests/scheduling/test_leaving.py
@@ -271,6 +271,16 @@
     assert not agent.start_calls
 
 
+def test_start_that_waits_for_a_connection_is_not_sent(site, only_entry):
+    agent = site.agents["agent-0"]
+    agent.executes_calls = False
+    submit_long_job(site, only_entry, tasks=2)
+    (call,) = agent.start_calls
+    assert worker_starts.may_send_start(agent.state, call, site.now)
+    site.announce_leave(agent, NOTICE_S)
+    assert not worker_starts.may_send_start(agent.state, call, site.now)
+
+
 @pytest.mark.parametrize("says_goodbye", [True, False])
 def test_lost_task_starts_again_and_is_not_suspected(site, only_entry, says_goodbye):
     """A worker that ends when it said so has not crashed."""
