--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -22,6 +22,7 @@
 )
 from turmericknot.scheduling import (
     evacuation,
+    leaving,
     worker_crashes,
     worker_leases,
     worker_lists,
@@ -207,6 +208,8 @@
         if worker_runs.worker_reported(self._runs, life, now):
             self._renew_now.set()
             self._entries.send_worker_report()
+            worker_starts.start_queued_runs(self._runs, now)
+        leaving.report_runs_at_risk(self._runs, now)
         self._worker_state.save(self._runs.life)
         self._execute_commands()
         return Response(200, b"{}")
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -9,6 +9,7 @@
 from .evacuation import log_empty_domains
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
+from .leaving_moves import move_runs
 from .owner import (
     RUN_NUMBERS_PER_EPOCH,
     flush_deferred_acknowledgements,
@@ -332,6 +333,7 @@
     demote_late_jobs(owner, now)
     flush_deferred_acknowledgements(owner, now)
     schedule_tasks(owner, now)
+    move_runs(owner, now)
 
 
 def _expire_agents(owner, now):
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -72,6 +72,9 @@
         if state.evacuation.is_evacuated:
             start_refused(state, run.name, EVACUATED)
             continue
+        if not is_worker_usable(state):
+            start_refused(state, run.name, "no_worker")
+            continue
         if not may_start_runs(state, run.shard, now):
             if now - run.queued_at > GRANT_WAIT_S:
                 start_refused(state, run.name, "no_grant")
@@ -80,9 +83,7 @@
         if run.has_waited_for_grant:
             run.has_waited_for_grant = False
             run.queued_at = now
-        if not is_worker_usable(state):
-            start_refused(state, run.name, "no_worker")
-        elif (
+        if (
             not is_guarded
             and run.pending_start.priority <= waiting_priority
             and _has_capacity(state, run)
@@ -111,11 +112,12 @@
 
     The process may have been paused, or a connection may have taken long to open, since
     the start was decided. The owner may have started the task elsewhere by then, or the
-    failure domain may have been evacuated.
+    worker may have said that it leaves, or its failure domain may be evacuated.
     """
     run = state.runs.get(call.name)
     return (
         run is not None
+        and state.life.usable
         and has_valid_grant(state, run.shard, now)
         and not state.evacuation.is_evacuated
     )
@@ -136,7 +138,7 @@
             or other.pending_start.priority <= run.pending_start.priority
         ):
             free_cpu -= other.cpu
-            remaining.append((_remaining_s(other, now), other.cpu))
+            remaining.append((expected_remaining_s(other, now), other.cpu))
     if free_cpu >= 0:
         return 0.0
     for seconds, cpu in sorted(remaining):
@@ -146,7 +148,7 @@
     return math.inf
 
 
-def _remaining_s(run, now):
+def expected_remaining_s(run, now):
     """Return the expected remaining seconds of a run, from its progress."""
     if run.percent >= MIN_PROGRESS_PERCENT:
         elapsed = run.progressed_at - run.confirmed_at
