Let agents judge the health and speed of their workers

Each entry learned alone: a worker that fails everything cost up to four runs at each of ten entries, and one that fails half of its runs was hardly ever suspended. With the platform's contract "health", the agent judges its worker from the runs of all entries, tells them with WorkerHealth, and is the gate for a suspended or probed worker. Without it, owners judge as before.

--- a/tests/node/test_agent_calls.py
+++ b/tests/node/test_agent_calls.py
@@ -12,6 +12,7 @@
     AgentNode,
 )
 from turmericknot.node.clock import steady_time
+from turmericknot.platform.settings import OptionSettings
 from turmericknot.scheduling import worker_leases, worker_starts
 from turmericknot.scheduling.worker_types import (
     LeaseRenewalResult,
@@ -48,6 +49,7 @@
                     failure_domain="d",
                     store=store,
                     bounds=bounds,
+                    options=OptionSettings(),
                     worker_address="127.0.0.1:1",
                 )
             )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -211,6 +211,14 @@
     assert loaded.link_address == "10.0.0.1:7720"
 
 
+@pytest.mark.parametrize(("contracts", "enabled"), [([], False), (["health"], True)])
+def test_worker_health_follows_from_the_contracts(contracts, enabled):
+    """A deployment that does not ask for the part must be served as before."""
+    settings = SETTINGS | {"contracts": contracts}
+    loaded = node_settings.decode_settings("entry", settings)
+    assert loaded.options.worker_health == enabled
+
+
 def test_all_settings_problems_are_reported_together():
     """An operator must not find the second problem only after fixing the first."""
     invalid = {**SETTINGS, "link_port": "x", "store": {"address": 5}}
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -8,6 +8,7 @@
     reports,
     runs,
     worker_crashes,
+    worker_health,
     worker_leases,
     worker_lists,
     worker_runs,
@@ -108,11 +109,16 @@
         self.crashes_at = None
         self.down_until = None
         self.born = 1
+        self.judges_worker = False
+        self.run_s = None  # after this time a run is done; None: when the test says so
+        self.fails = lambda name: False  # whether a run fails as soon as it starts
 
     def restart(self, now, reports=True):
         """Start a new process of the agent; the worker goes on running."""
         self.boot += 1
         self.state = worker_runs.create_worker_runs(SHARD_COUNT, 1.1, 1.0, now)
+        if self.judges_worker:
+            worker_health.enable(self.state, now)
         if reports:
             self.report(now)
             self.renew_lease(now)
@@ -171,9 +177,11 @@
             self.has_changed |= worker_crashes.worker_unreachable(self.state, now)
             worker_lists.lease_renewal_not_sent(self.state, call)
             return call
+        self._end_runs(now)
         ends = [end for end in self.worker.ends if end.number > call.last_seen]
+        full_run_s = self.run_s or FULL_RUN_S
         running = [
-            ListedRun(name, min(99, int((now - started_at) / FULL_RUN_S * 100)))
+            ListedRun(name, min(99, int((now - started_at) / full_run_s * 100)))
             for name, started_at in self.worker.running.items()
         ]
         was_reachable = self.state.unreachable_since is None
@@ -183,6 +191,11 @@
         self.has_changed = is_reachable != was_reachable
         return call
 
+    def _end_runs(self, now):
+        for name, started_at in list(self.worker.running.items()):
+            if self.run_s is not None and now - started_at >= self.run_s - 1e-9:
+                self.worker.end_run(name)
+
     def execute_calls(self, now):
         """Execute calls to the worker; return the messages to entries."""
         messages, self.unsent_messages = self.unsent_messages, []
@@ -202,6 +215,8 @@
                     name = command.name
                     if (name.job, name.step, name.index) in self.deadly_tasks:
                         self.crashes_at = now + CRASH_DELAY_S
+                    elif self.fails(name):
+                        self.worker.end_run(name, RunEnd.FAILED)
             elif isinstance(command, StopCall):
                 self.stop_calls.append(command)
                 if self.executes_calls and command.name in self.worker.running:
@@ -241,6 +256,7 @@
         self.renew_grant(entry, agent)
         for message in worker_crashes.recent_crash_reports(agent.state, self.now):
             deliver_to_owner(entry.owner, agent.name, message, self.now)
+        self._report_health(agent, [self.last_stream])
 
     def send_worker_report(self, agent):
         """Let an agent report its worker to all connected entries."""
@@ -257,6 +273,7 @@
         self.links.discard((entry.name, agent.name))
         reports.agent_disconnected(entry.owner, agent.name, self.now)
         worker_leases.stream_closed(agent.state, stream)
+        worker_health.stream_closed(agent.state, stream)
 
     def renew_grant(self, entry, agent):
         """Let an agent request a grant from an entry."""
@@ -276,11 +293,26 @@
             for command in entry.owner.pop_commands():
                 has_progressed = self._execute_command(entry, command) or has_progressed
         for agent in self.agents.values():
+            addressed = []
             for stream, message in agent.execute_calls(self.now):
                 has_progressed = True
                 self._deliver_to_entry(agent, stream, message)
+                addressed.append(stream)
+            if worker_health.pop_change(agent.state, self.now):
+                addressed = [
+                    stream
+                    for (_, name), stream in self.stream_numbers.items()
+                    if name == agent.name
+                ]
+            self._report_health(agent, addressed)
         return has_progressed
 
+    def _report_health(self, agent, streams):
+        for stream, message in worker_health.due_reports(
+            agent.state, streams, self.now
+        ):
+            self._deliver_to_entry(agent, stream, message)
+
     def _execute_command(self, entry, command):
         if isinstance(command, AnswerRequest):
             entry.answers.append((command.waiter, command.outcome))
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from turmericknot.scheduling import admission, workers
+from turmericknot.scheduling import admission, worker_standing, workers
 from turmericknot.scheduling.estimates import create_run_times
 from turmericknot.scheduling.jobs import StepSpec, create_job
 from turmericknot.scheduling.waiting import create_waiting_jobs
@@ -74,7 +74,7 @@
 def test_slow_worker_is_chosen_last():
     """A worker that has become slow must get no tasks while others have capacity."""
     views = [create_view("a"), create_view("b")]
-    workers.observe_pace(views[0], 0.2)
+    worker_standing.observe_pace(views[0], 0.2)
     workers.reserve_capacity(views[1], create_task())
     assert choose(views, create_task()) == "b"
 
@@ -134,15 +134,15 @@
     """
     view = create_view("a")
     for _ in range(6):
-        assert not workers.observe_failure(view, "poison", NOW)
-    assert workers.observe_failure(view, "other", NOW)
+        assert not worker_standing.observe_failure(view, "poison", NOW)
+    assert worker_standing.observe_failure(view, "other", NOW)
     assert not workers.is_usable(view, NOW)
-    later = NOW + workers.MIN_SUSPENSION_S
+    later = NOW + worker_standing.MIN_SUSPENSION_S
     view.last_request_at = later
     assert workers.is_usable(view, later)
     workers.reserve_capacity(view, create_task())
     assert not workers.is_usable(view, later)  # one task at a time probes it
-    workers.observe_success(view, 1.0)
+    worker_standing.observe_success(view, 1.0)
     assert workers.is_usable(view, later)
 
 
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -22,6 +22,7 @@
 )
 from turmericknot.scheduling import (
     worker_crashes,
+    worker_health,
     worker_leases,
     worker_lists,
     worker_pace,
@@ -39,6 +40,7 @@
 from turmericknot.utils.logging import get_logger
 from turmericknot.wire import shard_messages as wire
 
+from . import health_reports
 from .clock import steady_time
 from .constants import SHARD_COUNT
 from .entry_links import create_entry_links
@@ -100,6 +102,8 @@
             settings.bounds.lease_ms / 1000,
             steady_time(),
         )
+        if settings.options.worker_health:
+            worker_health.enable(self._runs, steady_time())
         self._store = create_store(settings.store.address, settings.store.partitions)
         self._entries = create_entry_links(
             settings,
@@ -165,7 +169,9 @@
             "worker_present": int(runs.life is not None),
             "runs_known": int(runs.is_synced),
         }
-        return {"runs_ended": runs.last_listed_end}, gauges
+        counters = {"runs_ended": runs.last_listed_end}
+        health_counters, health_gauges = health_reports.metric_values(runs)
+        return counters | health_counters, gauges | health_gauges
 
     async def _drain(self):
         """Refuse new runs and wait until the present ones have ended."""
@@ -221,6 +227,7 @@
                     self._call_worker(command)
         if addressed_streams:
             self._entries.attach_usage_reports(addressed_streams)
+        self._entries.report_health_changes()
         self._links.flush()
 
     def _call_worker(self, call):
@@ -237,6 +244,9 @@
             self._log.info("start.refused", job=call.name.job, reason=error.reason)
             if error.reason == "fence" and call.fence >= self._runs.fence:
                 worker_runs.fence_refused(self._runs, steady_time())
+            worker_health.start_rejected(
+                self._runs, call.name, error.reason, steady_time()
+            )
             # Removes the run, which has no part in a crash that the refusal shows.
             worker_starts.start_refused(self._runs, call.name, error.reason)
             self._record_refusal(error)
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -21,6 +21,7 @@
     owner as decisions,
     reports,
     runs,
+    worker_standing,
     workers,
 )
 from turmericknot.scheduling.commands import (
@@ -441,6 +442,8 @@
             "configuration_version": version,
             "store_reachable": int(self.membership.is_joined),
         }
+        states = worker_standing.count_states(owner.agents.values(), now)
+        gauges |= {f"workers_{name}": count for name, count in states.items()}
         return owner.counts, gauges
 
     def _log_ignored_reload(self):
--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -10,6 +10,7 @@
     neighborhood,
     usage_reports,
     worker_crashes,
+    worker_health,
     worker_leases,
     worker_runs,
 )
@@ -19,6 +20,7 @@
 from turmericknot.wire.links import LinkCallbacks, create_links
 from turmericknot.wire.messages import PROTOCOL_VERSION
 
+from . import health_reports
 from .clock import steady_time
 from .constants import REDIAL_LIMIT_S
 from .registration import (
@@ -274,6 +276,7 @@
         if link is not None and link.stream == stream:
             link.stream = None
         worker_leases.stream_closed(self._runs, stream)
+        worker_health.stream_closed(self._runs, stream)
         self._log.info("entry.disconnected", reason=reason)
 
     def _on_received(self, stream, messages):
@@ -334,6 +337,14 @@
             foreign_usage = usage.foreign_to(stream)
             if foreign_usage != link.known_usage.usage:
                 self._report_usage(link, foreign_usage)
+        health_reports.attach_health(self._links, self._runs, streams)
+
+    def report_health_changes(self):
+        """Tell all connected entries that the agent judges its worker anew."""
+        if worker_health.pop_change(self._runs, steady_time()):
+            links = self._entries.values()
+            streams = [link.stream for link in links if link.stream is not None]
+            health_reports.attach_health(self._links, self._runs, streams)
 
     def _report_usage(self, link, foreign_usage):
         link.known_usage.record_report(foreign_usage, steady_time())
--- a/turmericknot/platform/settings.py
+++ b/turmericknot/platform/settings.py
@@ -36,12 +36,21 @@
     far_factor: float = 1.0
 
 
+class OptionSettings(msgspec.Struct):
+    """Parts of the product that a deployment asks for.
+
+    ``worker_health``: agents judge their workers for all entries.
+    """
+
+    worker_health: bool = False
+
+
 class NodeSettings(msgspec.Struct):
     """Settings of one process.
 
     Addresses have the form ``host:port``. An entry needs ``jobs_address`` and
     ``ready_address``; an agent needs ``reports_address``, ``worker_address`` and
-    ``service``.
+    ``service``. ``contracts`` names the parts of the platform's rules in force.
     """
 
     node: str
@@ -58,6 +67,12 @@
     reports_address: str = ""
     worker_address: str = ""
     service: str = ""
+    contracts: list[str] = []
+
+    @property
+    def options(self):
+        """Return the OptionSettings that follow from the platform's contracts."""
+        return OptionSettings(worker_health="health" in self.contracts)
 
     @property
     def metrics_address(self):
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -2,7 +2,7 @@
 
 from turmericknot.wire import shard_messages as wire
 
-from . import besteffort, crash_reports, workers
+from . import besteffort, crash_reports, worker_standing, workers
 from .commands import SendMessage
 from .job_requests import acknowledge_cancel
 from .jobs import JobState, RunEnd, TaskStatus
@@ -52,6 +52,8 @@
             foreign_usage_reported(owner, agent_id, message)
         case wire.WorkerCrashed():
             crash_reports.worker_crashed(owner, agent_id, message, now)
+        case wire.WorkerHealth():
+            worker_standing.health_reported(owner, agent_id, message, now)
         case wire.WorkerChanged():
             worker_changed(owner, agent_id, message.worker, now)
 
@@ -64,6 +66,7 @@
     if view.boot != hello.boot:
         view.boot = hello.boot
         view.boot_at = now
+        view.health = None  # an older build would not tell again
     view.failure_domain = hello.failure_domain
     view.is_connected = True
     view.accepted_epochs.clear()
@@ -92,10 +95,7 @@
     previous, view.worker = view.worker, worker
     is_new_life = worker is None or previous is None or previous.life != worker.life
     if is_new_life:
-        view.consecutive_failures = 0
-        view.failed_jobs.clear()
-        view.suspended_until = 0.0
-        view.is_probing = False
+        worker_standing.life_changed(view)
     owner.placement_events.capacity_freed(agent_id)
     log(
         owner,
@@ -219,12 +219,12 @@
         return
     if how is RunEnd.FAILED and count_failure(task, name.run):
         task.avoided_agents = (*task.avoided_agents, view.id)
-        if workers.observe_failure(view, task.job.id, now):
+        if worker_standing.observe_failure(view, task.job.id, now):
             owner.placement_events.agent_returns_at(view.id, view.suspended_until)
             log(owner, "worker.suspended", agent=view.id, seconds=view.suspension_s)
     if how is RunEnd.STUCK:
         task.avoided_agents = (*task.avoided_agents, view.id)
-        workers.observe_stuck(view, now)
+        worker_standing.observe_stuck(view, now)
         owner.placement_events.agent_returns_at(view.id, view.suspended_until)
     if is_current_run:
         run_ended_without_result(owner, view, task, how, now)
@@ -243,7 +243,7 @@
     job.unfinished_tasks[task.step] -= 1
     if run_s > 0:
         expected = owner.run_times.expected_run_s(job.record.queue, task.spec)
-        workers.observe_success(view, run_s / max(expected, 0.001))
+        worker_standing.observe_success(view, run_s / max(expected, 0.001))
         owner.run_times.observe(job.record.queue, task.spec, run_s)
     if not job.unfinished_tasks[task.step]:
         enqueue_ready_steps(owner, job)
@@ -267,7 +267,10 @@
     view = owner.agents.get(agent_id)
     if shard is None or view is None:
         return
-    view.refusal_backoff_until = now + workers.REFUSAL_BACKOFF_S
+    is_probing = any(refusal.reason == "probing" for refusal in runs)
+    view.refusal_backoff_until = now + (
+        worker_standing.PROBING_BACKOFF_S if is_probing else workers.REFUSAL_BACKOFF_S
+    )
     owner.placement_events.agent_returns_at(agent_id, view.refusal_backoff_until)
     for refusal in runs:
         owner.pending_stops.pop(refusal.name, None)
@@ -285,7 +288,7 @@
             task.run += RUN_NUMBERS_PER_EPOCH
         if refusal.reason == "unhealthy":
             task.avoided_agents = (*task.avoided_agents, agent_id)
-            if workers.observe_failure(view, task.job.id, now):
+            if worker_standing.observe_failure(view, task.job.id, now):
                 owner.placement_events.agent_returns_at(agent_id, view.suspended_until)
         run_ended_without_result(owner, view, task, RunEnd.LOST, now, refusal.reason)
 
@@ -300,7 +303,7 @@
     view = owner.agents.get(agent_id)
     if shard is None or view is None:
         return
-    workers.observe_pace(view, report.pace)
+    worker_standing.observe_pace(view, report.pace)
     if not 0 < report.pace < SLOW_PACE_RATIO:
         return
     for row in report.runs:
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -222,6 +222,7 @@
         QUEUE_TIMEOUT_S if has_free_capacity else FULL_WORKER_QUEUE_TIMEOUT_S,
         task.suspect_since is not None,
         job.record.queue,
+        task.failures,
     )
     starts.setdefault((agent.id, shard.number), []).append(run)
     owner.count("started")
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -2,6 +2,7 @@
 
 from turmericknot.wire.shard_messages import EndedRun
 
+from . import worker_health
 from .jobs import RunEnd
 from .worker_crashes import worker_answered
 from .worker_leases import check_grants, lease_deadline_ms, mark_synced
@@ -130,6 +131,8 @@
     how = row.how
     if run is not None and run.is_stuck and how is RunEnd.STOPPED:
         how = RunEnd.STUCK
+    if run is not None:
+        worker_health.run_ended(state, run, how, run_ms / 1000, now)
     end = EndedRun(row.name, row.number, how, run_ms)
     is_inherited = run is None or run.is_inherited
     shard = inherited_shard(state, row.name.job) if is_inherited else run.shard
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -59,6 +59,7 @@
         "unreachable_since",
         "answered_at",
         "recent_crashes",
+        "health",
         "commands",
     )
 
@@ -95,6 +96,7 @@
         self.unreachable_since = None
         self.answered_at = now  # when the worker last answered a call
         self.recent_crashes = OrderedDict()  # life -> (time, WorkerCrashed)
+        self.health = None  # WorkerHealth, if the agent judges its worker
         self.commands = []
 
     @property
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -4,6 +4,7 @@
 
 from turmericknot.wire.shard_messages import EndedRun, RefusedRun, RunName, RunsRefused
 
+from . import worker_health
 from .jobs import RunEnd
 from .worker_crashes import is_suspect_on_probation
 from .worker_leases import has_valid_grant, lease_deadline_ms, may_start_runs
@@ -25,9 +26,11 @@
     """
     refused = []
     shard_grant = state.shards.get(request.shard)
-    for start in request.runs:
+    for start in worker_health.probe_order(state, request.runs):
         name = RunName(start.job, start.step, start.index, start.run)
         reason = _refusal_reason(state, shard_grant, stream, request, start, now)
+        if not reason and name not in state.runs:
+            reason = worker_health.gate_reason(state, now)
         if reason:
             refused.append(RefusedRun(name, reason))
             continue
@@ -40,6 +43,7 @@
         run.expected = start.expected
         run.is_suspect = start.is_suspect
         run.queue = start.queue
+        run.failures = start.failures
         if expected_wait_s(state, run, now) > start.max_queue_wait_s:
             refused.append(RefusedRun(name, "room"))
             continue
@@ -63,7 +67,11 @@
     queued.sort(key=lambda run: (run.pending_start.priority, run.due_at))
     waiting_priority = math.inf  # of the most urgent run without capacity
     is_guarded = is_suspect_on_probation(state, now)
+    is_suspended = worker_health.is_suspended(state, now)
     for run in queued:
+        if is_suspended:
+            start_refused(state, run.name, "suspended")
+            continue
         if not may_start_runs(state, run.shard, now):
             if now - run.queued_at > GRANT_WAIT_S:
                 start_refused(state, run.name, "no_grant")
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -79,6 +79,7 @@
     is_stuck: bool = False
     is_suspect: bool = False  # the task may have crashed another worker
     queue: str = ""  # of its job; empty if unknown
+    failures: int = 0  # failed runs of the task before this one
     is_lapsed: bool = False  # ended with the lease of a worker that cannot be reached
 
 
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -1,16 +1,7 @@
 """The owner's view of agents and their workers, and the choice among them."""
 
-# Weight of the newest run in the moving average of the slowdown.
-NEWEST_RUN_WEIGHT = 0.15
-# A single run counts as at most this slowdown: long tails are part of every queue and
-# say little about the worker.
-MAX_OBSERVED_SLOWDOWN = 4.0
 # Slowdowns are rounded to this step; smaller differences are treated as noise.
 SLOWDOWN_STEP = 0.25
-# Consecutive failed runs, of different jobs, after which a worker is suspended.
-CONSECUTIVE_FAILURES_TO_SUSPEND = 4
-MIN_SUSPENSION_S = 1.0
-MAX_SUSPENSION_S = 8.0
 # Share of a worker's processors by which urgent tasks may overcommit it. Tasks of a
 # third of a second on ten slots end every 30 ms, so two queued ones start in 60 ms.
 URGENT_OVERCOMMIT_SHARE = 0.2
@@ -53,6 +44,7 @@
         "refusal_backoff_until",
         "suspension_s",
         "is_probing",
+        "health",
     )
 
     def __init__(self, agent_id):
@@ -79,8 +71,9 @@
         self.failed_jobs = set()
         self.suspended_until = 0.0
         self.refusal_backoff_until = 0.0
-        self.suspension_s = MIN_SUSPENSION_S
+        self.suspension_s = 0.0  # length of the last suspension, doubled with each one
         self.is_probing = False
+        self.health = None  # newest WorkerHealth of the agent for this worker
 
 
 def is_connected_and_usable(agent):
@@ -97,10 +90,17 @@
         is_connected_and_usable(agent)
         and now - agent.last_request_at < max_request_age_s
         and now >= max(agent.suspended_until, agent.refusal_backoff_until)
-        and not (agent.is_probing and agent.tasks)
+        and not (agent.is_probing and _has_probe(agent))
     )
 
 
+def _has_probe(agent):
+    """Return whether a run of this owner probes the worker."""
+    if agent.health is None:
+        return bool(agent.tasks)
+    return any(t.started_at >= agent.suspended_until for t in agent.tasks.values())
+
+
 def has_capacity(agent, spec, overcommit=0.0):
     """Return whether the worker has capacity for one more task of this shape.
 
@@ -212,57 +212,3 @@
     agent.used_cpu -= spec.cpu
     agent.used_memory -= spec.memory
     agent.used_accelerators -= spec.accelerators
-
-
-def observe_success(agent, slowdown):
-    """Update the agent's statistics after a successful run.
-
-    ``slowdown`` is the run time divided by the expected one.
-    """
-    agent.consecutive_failures = 0
-    agent.failed_jobs.clear()
-    agent.suspension_s = MIN_SUSPENSION_S
-    agent.is_probing = False
-    slowdown = min(slowdown, MAX_OBSERVED_SLOWDOWN)
-    agent.slowdown += NEWEST_RUN_WEIGHT * (slowdown - agent.slowdown)
-
-
-def observe_pace(agent, pace):
-    """Update the slowdown of a worker from the pace of its current runs."""
-    if pace > 0:
-        agent.slowdown = max(agent.slowdown, min(1 / pace, MAX_OBSERVED_SLOWDOWN))
-
-
-def observe_stuck(agent, now):
-    """Suspend a worker on which a run made no progress.
-
-    On a worker where every task hangs, each attempt costs a second. The suspensions
-    therefore grow, and after each one a single task at a time probes the worker.
-    """
-    if now < agent.suspended_until:
-        return
-    agent.suspended_until = now + agent.suspension_s
-    agent.suspension_s = min(2 * agent.suspension_s, MAX_SUSPENSION_S)
-    agent.is_probing = True
-
-
-def observe_failure(agent, job_id, now):
-    """Update the statistics after a failed run; return whether it suspended the worker.
-
-    A worker that fails every run is suspended after consecutive failures of several
-    jobs. After the suspension a single task at a time probes it.
-    """
-    agent.consecutive_failures += 1
-    agent.failed_jobs.add(job_id)
-    is_worker_fault = len(agent.failed_jobs) > 1 or agent.is_probing
-    if (
-        agent.consecutive_failures < CONSECUTIVE_FAILURES_TO_SUSPEND
-        and not agent.is_probing
-    ):
-        return False
-    if not is_worker_fault or now < agent.suspended_until:
-        return False
-    agent.suspended_until = now + agent.suspension_s
-    agent.suspension_s = min(2 * agent.suspension_s, MAX_SUSPENSION_S)
-    agent.is_probing = True
-    return True
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -90,6 +90,7 @@
     max_queue_wait_s: float = 0.0  # limit of the wait for capacity on the worker
     is_suspect: bool = False  # the task may have crashed a worker
     queue: str = ""
+    failures: int = 0  # failed runs of the task before this one
 
 
 class StartRuns(Message, tag=64):
@@ -229,6 +230,23 @@
     age_s: float = 0.0  # time since the report, if it is repeated on a new stream
 
 
+class WorkerHealth(Message, tag=82):
+    """Report what the agent has learned of its worker from the runs of all entries.
+
+    ``slowdown`` is the ratio of run time to expected run time over ``runs`` runs, last
+    measured ``age_s`` ago. ``state`` is a scheduling HealthState; the agent refuses
+    runs for ``usable_in_s`` when it suspends the worker for ``reason``.
+    """
+
+    life: str
+    slowdown: float
+    runs: int
+    state: int
+    reason: str = ""
+    age_s: float = 0.0
+    usable_in_s: float = 0.0
+
+
 class PeerGreeting(Message, tag=70):
     """First message of an entry to the owner of a shard."""
 
@@ -312,4 +330,5 @@
     | RoomReport
     | RunsProgress
     | WorkerCrashed
+    | WorkerHealth
 )
