--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -64,6 +64,7 @@
         "recent_crashes",
         "evacuation",
         "leave_notices",
+        "health",
         "commands",
     )
 
@@ -102,6 +103,7 @@
         self.recent_crashes = OrderedDict()  # life -> (time, WorkerCrashed)
         self.evacuation = evacuation.create_agent_evacuation()
         self.leave_notices = {}  # stream of an owner -> last LeaveNotice
+        self.health = None  # WorkerHealth, if the agent judges its worker
         self.commands = []
 
     @property
