--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -142,8 +142,14 @@
     life = workers.decode_worker_report("i-1", encode(REPORT), 9.0)
     assert (life.cpu, life.memory, life.usable) == (16000, 32768, True)
     assert (life.clock, life.clock_at, life.born) == (482.113, 9.0, 1791322888642)
+    cold = encode({**REPORT, "cold_left_ms": 2500})
+    assert workers.decode_worker_report("i-1", cold, 9.0).cold_s == 2.5
     draining = encode({**REPORT, "state": "draining"})
     assert not workers.decode_worker_report("i-1", draining, 9.0).usable
+    for remaining_ms, leaves_at in ((None, None), (1600, 10.6), (-5, 9.0), ("1", None)):
+        body = {**REPORT, "state": "draining", "remaining_ms": remaining_ms}
+        life = workers.decode_worker_report("i-1", encode(body), 9.0)
+        assert (life.usable, life.leaves_at) == (False, leaves_at)
 
 
 @pytest.mark.parametrize(
@@ -211,6 +217,14 @@
     assert loaded.link_address == "10.0.0.1:7720"
 
 
+@pytest.mark.parametrize(("contracts", "enabled"), [([], False), (["health"], True)])
+def test_worker_health_follows_from_the_contracts(contracts, enabled):
+    """A deployment that does not ask for the part must be served as before."""
+    settings = SETTINGS | {"contracts": contracts}
+    loaded = node_settings.decode_settings("entry", settings)
+    assert loaded.options.worker_health == enabled
+
+
 def test_all_settings_problems_are_reported_together():
     """An operator must not find the second problem only after fixing the first."""
     invalid = {**SETTINGS, "link_port": "x", "store": {"address": 5}}
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from turmericknot.scheduling import admission, workers
+from turmericknot.scheduling import admission, worker_standing, workers
 from turmericknot.scheduling.estimates import create_run_times
 from turmericknot.scheduling.jobs import StepSpec, create_job
 from turmericknot.scheduling.waiting import create_waiting_jobs
@@ -74,7 +74,7 @@
 def test_slow_worker_is_chosen_last():
     """A worker that has become slow must get no tasks while others have capacity."""
     views = [create_view("a"), create_view("b")]
-    workers.observe_pace(views[0], 0.2)
+    worker_standing.observe_pace(views[0], 0.2)
     workers.reserve_capacity(views[1], create_task())
     assert choose(views, create_task()) == "b"
 
@@ -134,15 +134,15 @@
     """
     view = create_view("a")
     for _ in range(6):
-        assert not workers.observe_failure(view, "poison", NOW)
-    assert workers.observe_failure(view, "other", NOW)
+        assert not worker_standing.observe_failure(view, "poison", NOW)
+    assert worker_standing.observe_failure(view, "other", NOW)
     assert not workers.is_usable(view, NOW)
-    later = NOW + workers.MIN_SUSPENSION_S
+    later = NOW + worker_standing.MIN_SUSPENSION_S
     view.last_request_at = later
     assert workers.is_usable(view, later)
     workers.reserve_capacity(view, create_task())
     assert not workers.is_usable(view, later)  # one task at a time probes it
-    workers.observe_success(view, 1.0)
+    worker_standing.observe_success(view, 1.0)
     assert workers.is_usable(view, later)
 
 
@@ -231,3 +231,32 @@
         name for name in answered_at if answered_at[name] - submitted_at[name] <= 1.15
     ]
     assert len(in_time) >= 0.4 * len(submitted_at)
+
+
+def test_capacity_that_shrinks_and_grows_while_it_is_used(create_site):
+    """Runs that no longer fit go on; two owners do not both fill what comes back."""
+    site = create_site(entries=2, agents=1)
+    (agent,), entries = site.agents.values(), list(site.entries.values())
+
+    def submit(entry, job, tasks):
+        record = create_job_record(tasks, estimate=5.0, objective=20.0)
+        entry.submit_best_effort(job, site.now, job, record, wait=60.0)
+        site.deliver_all()
+
+    def resize(cpu):
+        agent.cpu = cpu
+        agent.report(site.now)
+        site.send_worker_report(agent)
+        site.advance(0.1)
+
+    submit(entries[0], "00000000000000a1", 4)
+    resize(2000)
+    assert [entry.owner.free_cores for entry in entries] == [2.0, 2.0]
+    for number, entry in enumerate(entries):
+        submit(entry, f"00000000000000b{number}", 3)
+    site.advance(0.5)
+    assert len(agent.worker.started) == 4
+    resize(6000)
+    site.advance(0.5)
+    assert (len(agent.worker.running), len(agent.worker.started)) == (6, 6)
+    assert agent.stop_calls == []
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -23,6 +23,7 @@
     owner as decisions,
     reports,
     runs,
+    worker_standing,
     workers,
 )
 from turmericknot.scheduling.commands import (
@@ -456,6 +457,8 @@
             "store_reachable": int(self.membership.is_joined),
             **evacuation.metric_values(owner),
         }
+        states = worker_standing.count_states(owner.agents.values(), now)
+        gauges |= {f"workers_{name}": count for name, count in states.items()}
         return owner.counts, gauges
 
     def _log_ignored_reload(self):
--- a/turmericknot/node/worker_state.py
+++ b/turmericknot/node/worker_state.py
@@ -26,13 +26,18 @@
 def encode_worker_life(life):
     """Encode a WorkerLife; return no bytes for None.
 
-    The clock, the sequence number and the time that the worker remains cold are left
-    out, because every report changes them.
+    The clock, the sequence number and the times that the worker remains cold and leaves
+    are left out, because every report changes them.
     """
     if life is None:
         return b""
     stored_life = replace(
-        life, clock=0.0, clock_at=0.0, sequence=STORED_SEQUENCE, cold_s=0.0
+        life,
+        clock=0.0,
+        clock_at=0.0,
+        sequence=STORED_SEQUENCE,
+        cold_s=0.0,
+        leaves_at=None,
     )
     return msgspec.msgpack.encode(stored_life)
 
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -57,6 +57,7 @@
     labels: list[str] = []
     born: int = 0  # start time of the worker in Unix milliseconds
     cold_left_ms: float = 0.0  # how much longer it remains slow after its start
+    remaining_ms: object = None  # least time left to a draining worker
 
 
 class _RefusalBody(msgspec.Struct):
@@ -270,9 +271,18 @@
         clock_at=now,
         sequence=report.seq,
         cold_s=max(0.0, report.cold_left_ms / 1000),
+        leaves_at=_decode_leaves_at(report, now),
     )
 
 
+def _decode_leaves_at(report, now):
+    """Return when a draining worker leaves at the earliest, or None if unknown."""
+    remaining_ms = report.remaining_ms
+    if report.state != "draining" or not _is_integer(remaining_ms):
+        return None
+    return now + max(0, remaining_ms) / 1000
+
+
 def worker_id_from_path(path):
     """Return the worker id in the path of a report, or an empty string."""
     return (
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -9,6 +9,7 @@
 from .evacuation import log_empty_domains
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
+from .leaving_moves import move_runs
 from .owner import (
     RUN_NUMBERS_PER_EPOCH,
     flush_deferred_acknowledgements,
@@ -225,6 +226,7 @@
         QUEUE_TIMEOUT_S if has_free_capacity else FULL_WORKER_QUEUE_TIMEOUT_S,
         task.suspect_since is not None,
         job.record.queue,
+        task.failures,
     )
     starts.setdefault((agent.id, shard.number), []).append(run)
     owner.count("started")
@@ -332,6 +334,7 @@
     demote_late_jobs(owner, now)
     flush_deferred_acknowledgements(owner, now)
     schedule_tasks(owner, now)
+    move_runs(owner, now)
 
 
 def _expire_agents(owner, now):
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -2,7 +2,9 @@
 
 from turmericknot.wire.shard_messages import EndedRun
 
+from . import worker_health
 from .jobs import RunEnd
+from .leaving import report_runs_at_risk
 from .worker_crashes import worker_answered
 from .worker_leases import check_grants, lease_deadline_ms, mark_synced
 from .worker_pace import check_progress
@@ -81,6 +83,7 @@
     if not state.is_synced and not listed_runs:
         mark_synced(state)
     start_queued_runs(state, now)
+    report_runs_at_risk(state, now)
 
 
 def _is_overtaken(state, call, result):
@@ -130,6 +133,8 @@
     how = row.how
     if run is not None and run.is_stuck and how is RunEnd.STOPPED:
         how = RunEnd.STUCK
+    if run is not None:
+        worker_health.run_ended(state, run, how, run_ms / 1000, now)
     end = EndedRun(row.name, row.number, how, run_ms)
     is_inherited = run is None or run.is_inherited
     shard = inherited_shard(state, row.name.job) if is_inherited else run.shard
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -63,6 +63,8 @@
         "answered_at",
         "recent_crashes",
         "evacuation",
+        "leave_notices",
+        "health",
         "commands",
     )
 
@@ -100,6 +102,8 @@
         self.answered_at = now  # when the worker last answered a call
         self.recent_crashes = OrderedDict()  # life -> (time, WorkerCrashed)
         self.evacuation = evacuation.create_agent_evacuation()
+        self.leave_notices = {}  # stream of an owner -> last LeaveNotice
+        self.health = None  # WorkerHealth, if the agent judges its worker
         self.commands = []
 
     @property
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -4,6 +4,7 @@
 
 from turmericknot.wire.shard_messages import EndedRun, RefusedRun, RunName, RunsRefused
 
+from . import worker_health
 from .evacuation import EVACUATED
 from .jobs import RunEnd
 from .worker_crashes import is_suspect_on_probation
@@ -30,9 +31,11 @@
     """
     refused = []
     shard_grant = state.shards.get(request.shard)
-    for start in request.runs:
+    for start in worker_health.probe_order(state, request.runs):
         name = RunName(start.job, start.step, start.index, start.run)
         reason = _refusal_reason(state, shard_grant, stream, request, start, now)
+        if not reason and name not in state.runs:
+            reason = worker_health.gate_reason(state, now)
         if reason:
             refused.append(RefusedRun(name, reason))
             continue
@@ -45,6 +48,7 @@
         run.expected = start.expected
         run.is_suspect = start.is_suspect
         run.queue = start.queue
+        run.failures = start.failures
         if expected_wait_s(state, run, now) > start.max_queue_wait_s:
             refused.append(RefusedRun(name, "room"))
             continue
@@ -68,9 +72,11 @@
     queued.sort(key=lambda run: (run.pending_start.priority, run.due_at))
     waiting_priority = math.inf  # of the most urgent run without capacity
     is_guarded = is_suspect_on_probation(state, now)
+    is_suspended = worker_health.is_suspended(state, now)
     for run in queued:
-        if state.evacuation.is_evacuated:
-            start_refused(state, run.name, EVACUATED)
+        reason = _unusable_reason(state, is_suspended)
+        if reason:
+            start_refused(state, run.name, reason)
             continue
         if not may_start_runs(state, run.shard, now):
             if now - run.queued_at > GRANT_WAIT_S:
@@ -80,9 +86,7 @@
         if run.has_waited_for_grant:
             run.has_waited_for_grant = False
             run.queued_at = now
-        if not is_worker_usable(state):
-            start_refused(state, run.name, "no_worker")
-        elif (
+        if (
             not is_guarded
             and run.pending_start.priority <= waiting_priority
             and _has_capacity(state, run)
@@ -95,6 +99,15 @@
             waiting_priority = min(waiting_priority, run.pending_start.priority)
 
 
+def _unusable_reason(state, is_suspended):
+    """Return why no queued run may start on the worker, or an empty string."""
+    if state.evacuation.is_evacuated:
+        return EVACUATED
+    if not is_worker_usable(state):
+        return "no_worker"
+    return "suspended" if is_suspended else ""
+
+
 def needs_grant(state, stream, now):
     """Return whether a queued run of the entry on this stream waits for a grant."""
     return any(
@@ -111,11 +124,12 @@
 
     The process may have been paused, or a connection may have taken long to open, since
     the start was decided. The owner may have started the task elsewhere by then, or the
-    failure domain may have been evacuated.
+    worker may have said that it leaves, or its failure domain may be evacuated.
     """
     run = state.runs.get(call.name)
     return (
         run is not None
+        and state.life.usable
         and has_valid_grant(state, run.shard, now)
         and not state.evacuation.is_evacuated
     )
@@ -136,7 +150,7 @@
             or other.pending_start.priority <= run.pending_start.priority
         ):
             free_cpu -= other.cpu
-            remaining.append((_remaining_s(other, now), other.cpu))
+            remaining.append((expected_remaining_s(other, now), other.cpu))
     if free_cpu >= 0:
         return 0.0
     for seconds, cpu in sorted(remaining):
@@ -146,7 +160,7 @@
     return math.inf
 
 
-def _remaining_s(run, now):
+def expected_remaining_s(run, now):
     """Return the expected remaining seconds of a run, from its progress."""
     if run.percent >= MIN_PROGRESS_PERCENT:
         elapsed = run.progressed_at - run.confirmed_at
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -14,6 +14,8 @@
     Holds what the worker reports. A restarted worker may keep its ``id``, but has a
     later ``born``, the start time of the process in Unix milliseconds (0 if unknown).
     ``clock`` is the worker's clock in seconds at the agent's time ``clock_at``.
+    ``leaves_at`` is the agent's time before which a leaving worker does not leave;
+    None if it does not leave, or has not said when.
     """
 
     id: str
@@ -28,6 +30,7 @@
     clock_at: float
     sequence: int = 0
     cold_s: float = 0.0  # how much longer, at ``clock_at``, the worker is slow
+    leaves_at: float | None = None
 
     @property
     def key(self):
@@ -80,6 +83,7 @@
     is_stuck: bool = False
     is_suspect: bool = False  # the task may have crashed another worker
     queue: str = ""  # of its job; empty if unknown
+    failures: int = 0  # failed runs of the task before this one
     is_lapsed: bool = False  # ended with the lease of a worker that cannot be reached
 
 
