Renew the lease at short intervals while the worker leaves calls unanswered

Change: for 3 s after a lost answer, a renewal waits 40 ms for an end and 50 ms for the answer, which grows back with losses in a row.

--- a/tests/node/test_agent_calls.py
+++ b/tests/node/test_agent_calls.py
@@ -8,12 +8,11 @@
 from turmericknot.core.exceptions import WorkerUnavailable
 from turmericknot.node.agent import (
     LOST_RENEWAL_INTERVAL_S,
-    RENEWAL_WAIT_S,
     AgentNode,
 )
 from turmericknot.node.clock import steady_time
 from turmericknot.platform.settings import OptionSettings
-from turmericknot.scheduling import worker_leases, worker_starts
+from turmericknot.scheduling import renewal_pace, worker_leases, worker_starts
 from turmericknot.scheduling.worker_types import (
     LeaseRenewalResult,
     StartCall,
@@ -104,7 +103,7 @@
     def __init__(self):
         self.waits = []
 
-    async def renew_lease(self, call, wait_s):
+    async def renew_lease(self, call, wait_s, answer_time_s):
         self.waits.append(wait_s)
         if wait_s:
             await asyncio.sleep(10)
@@ -139,7 +138,7 @@
     def __init__(self):
         self.waits = []
 
-    async def renew_lease(self, call, wait_s):
+    async def renew_lease(self, call, wait_s, answer_time_s):
         self.waits.append(wait_s)
         if len(self.waits) == 1:
             await asyncio.sleep(LOST_RENEWAL_INTERVAL_S)
@@ -159,7 +158,7 @@
         client = node._worker_client = LosingClient()
         loop = asyncio.create_task(node._renew_lease())
         await asyncio.sleep(LOST_RENEWAL_INTERVAL_S + 0.02)
-        assert client.waits == [RENEWAL_WAIT_S, 0.0]
+        assert client.waits == [renewal_pace.WAIT_S, 0.0]
         loop.cancel()
 
     run_with_agent(test)
@@ -186,7 +185,7 @@
     def __init__(self):
         self.calls = 0
 
-    async def renew_lease(self, call, wait_s):
+    async def renew_lease(self, call, wait_s, answer_time_s):
         self.calls += 1
         raise WorkerUnavailable("connection reset")
 
--- a/tests/node/test_worker_state.py
+++ b/tests/node/test_worker_state.py
@@ -97,7 +97,9 @@
         client = WorkerClient(create_http_client(worker.address))
         current_life = worker_life(born=worker.born)
         assert await client.read_clock(current_life) <= worker.clock_ms / 1000
-        await client.renew_lease(LeaseRenewal(50, 0, None, current_life, 0.0), 0.0)
+        await client.renew_lease(
+            LeaseRenewal(50, 0, None, current_life, 0.0), 0.0, 0.15
+        )
         assert await client.read_clock(current_life) <= worker.clock_ms / 1000
         with pytest.raises(WorkerRefused):
             await client.read_clock(worker_life("i-2"))
@@ -115,7 +117,9 @@
         await worker.start()
         client = WorkerClient(create_http_client(worker.address))
         current_life = worker_life(born=worker.born)
-        await client.renew_lease(LeaseRenewal(50, 0, None, current_life, 0.0), 0.0)
+        await client.renew_lease(
+            LeaseRenewal(50, 0, None, current_life, 0.0), 0.0, 0.15
+        )
         assert await client.read_clock(current_life) == 0.0
         worker.server.stop()
 
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -32,6 +32,7 @@
     worker_starts,
 )
 from turmericknot.scheduling.jobs import agent_key
+from turmericknot.scheduling.renewal_pace import create_renewal_pace
 from turmericknot.scheduling.worker_runs import create_worker_runs
 from turmericknot.scheduling.worker_types import (
     AgentLogLine,
@@ -53,9 +54,6 @@
 
 GRANT_CHECK_INTERVAL_S = 0.25
 QUEUE_CHECK_INTERVAL_S = 0.03
-# Longest time that a renewal waits for the end of a run. Those after a lost answer do
-# not wait, so the lease survives three lost answers in a row.
-RENEWAL_WAIT_S = 0.25
 RENEWAL_RETRY_DELAY_S = 0.1
 # A worker may reset each connection at once; renewals are at least this far apart then.
 LOST_RENEWAL_INTERVAL_S = 0.05
@@ -87,7 +85,7 @@
         "_failed_task",
         "_worker_calls",
         "_renew_now",
-        "_is_renewal_lost",
+        "_renewal_pace",
         "_ends_acknowledged",
         "_start_slots",
         "_inherited_shards_task",
@@ -120,7 +118,7 @@
         self._failed_task = ""
         self._worker_calls = set()  # start and stop calls in flight
         self._renew_now = asyncio.Event()
-        self._is_renewal_lost = False  # whether the last answer was lost
+        self._renewal_pace = create_renewal_pace()
         self._ends_acknowledged = asyncio.Event()
         self._start_slots = asyncio.Semaphore(MAX_CONCURRENT_STARTS)
         self._inherited_shards_task = None
@@ -260,6 +258,7 @@
             self._record_refusal(error)
         except WorkerUnavailable as error:
             self._log.warning("start.unanswered", job=call.name.job, reason=str(error))
+            self._renewal_pace.record_lost_call(steady_time())
             worker_starts.start_unanswered(self._runs, call.name, steady_time())
             self._renew_now.set()
         except Exception:
@@ -317,12 +316,12 @@
         """Renew the worker's lease and collect the ends of runs."""
         while True:
             runs = self._runs
-            is_urgent = (
-                self._renew_now.is_set()
-                or self._is_renewal_lost
-                or runs.has_unanswered_starts
-            )
-            wait_s = RENEWAL_WAIT_S if runs.is_synced and not is_urgent else 0.0
+            is_urgent = self._renew_now.is_set() or runs.has_unanswered_starts
+            # Renewals after a lost answer do not wait either, so the lease survives
+            # three lost answers in a row.
+            wait_s = self._renewal_pace.wait_s(steady_time())
+            if is_urgent or not runs.is_synced:
+                wait_s = 0.0
             self._renew_now.clear()
             delay_s = await self._renew_lease_once(wait_s)
             if delay_s:
@@ -357,7 +356,8 @@
         if call is None:
             return RENEWAL_RETRY_DELAY_S
         try:
-            result = await self._worker_client.renew_lease(call, wait_s)
+            answer_time_s = self._renewal_pace.answer_time_s(now)
+            result = await self._worker_client.renew_lease(call, wait_s, answer_time_s)
         except WorkerRefused as error:
             self._log.warning("hold.refused", reason=error.reason)
             self._record_refusal(error)
@@ -371,11 +371,11 @@
             # Until the next answer, no end of a run is seen and the lease runs out: the
             # next renewal does not wait.
             self._log.warning("hold.unanswered", reason=str(error))
-            self._is_renewal_lost = True
+            self._renewal_pace.record_lost_renewal(steady_time())
             elapsed_s = steady_time() - now
             await asyncio.sleep(max(0.0, LOST_RENEWAL_INTERVAL_S - elapsed_s))
             return 0.0
-        self._is_renewal_lost = False
+        self._renewal_pace.record_answer()
         flags_before = self._worker_flags()
         worker_lists.lease_renewal_answered(self._runs, call, result, steady_time())
         if self._runs.needs_inherited_shards and self._inherited_shards_task is None:
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -27,7 +27,6 @@
 # lost are settled by the next renewal, which also shows the ends of runs: a long wait
 # for a lost answer costs more than a call too many.
 WORKER_CALL_TIMEOUT_S = 0.2
-RENEWAL_TIMEOUT_S = 0.15  # added to the time that the worker may wait for an end
 REPORT_PATH_PREFIX = "/instances/"
 MAX_LOGGED_ROW_CHARS = 100
 
@@ -117,11 +116,12 @@
         reply = await self._post("/run-stop", body, call.life)
         _raise_unless_accepted(reply)
 
-    async def renew_lease(self, call, wait_s):
+    async def renew_lease(self, call, wait_s, answer_time_s):
         """Renew the lease of the worker and return the LeaseRenewalResult.
 
         The worker delays its answer by up to ``wait_s`` until a run ends that has not
-        been listed yet.
+        been listed yet. Raise WorkerUnavailable without an answer ``answer_time_s``
+        after that.
         """
         body = {
             "fence_token": call.fence,
@@ -130,8 +130,14 @@
         }
         if call.deadline_ms is not None:
             body["deadline_ms"] = call.deadline_ms
-        timeout_s = RENEWAL_TIMEOUT_S + wait_s
-        reply = await self._post("/hold", body, call.life, timeout_s)
+        timeout_s = answer_time_s + wait_s
+        reply = await self._post(
+            "/hold",
+            body,
+            call.life,
+            timeout_s,
+            connect_timeout_s=WORKER_CALL_TIMEOUT_S,
+        )
         _raise_unless_accepted(reply)
         return _decode_run_lists(reply.body)
 
