--- a/turmericknot/scheduling/renewal_pace.py
+++ b/turmericknot/scheduling/renewal_pace.py
@@ -5,9 +5,9 @@
 up. An urgent job of wide steps has runs on many workers and bears a delay of about a
 tenth of a second, so an end has to be seen within that time.
 
-While all calls are answered, renewals that wait long cost the fewest calls. After a lost
-answer they are short for a while. A worker or an agent that is merely slow loses several
-answers in a row: the time for the answer then grows back.
+While all calls are answered, renewals that wait long cost the fewest calls. After a
+lost answer they are short for a while. A worker or an agent that is merely slow loses
+several answers in a row: the time for the answer then grows back.
 """
 
 WAIT_S = 0.25
