Bound what is kept of tasks out of reach, and count refused starts once

Cause: a job without evacuations paid for a pass over its candidates; shapes of tasks were kept without a limit; a start that was already gone counted as refused.

--- a/turmericknot/scheduling/evacuation.py
+++ b/turmericknot/scheduling/evacuation.py
@@ -123,7 +123,7 @@
         _log(owner, "evacuation.empty", domain=domain, seconds=seconds)
 
 
-def is_refused(agents, record, caller_wait_s):
+def is_refused(owner, agents, record, caller_wait_s):
     """Return whether a job has to be refused because of evacuations.
 
     ``agents`` are those with workers of its service. Nobody knows when a failure domain
@@ -131,9 +131,9 @@
     worker there, because of a label or the size, it is refused when its caller waits
     for the end, and waits itself when it is durable.
     """
-    if not any(agent.is_evacuated for agent in agents):
+    if not owner.evacuations.domains:
         return False
-    if all(agent.is_evacuated for agent in agents):
+    if agents and all(agent.is_evacuated for agent in agents):
         return True
     return caller_wait_s < math.inf and any(
         workers.fits_only_evacuated(agents, record.service, step)
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -65,7 +65,7 @@
             return Outcome.REFUSED, admission.RETRY_MAX_S, "too_large"
     is_every_worker_known = now >= owner.workers_known_at
     if is_every_worker_known and evacuation.is_refused(
-        candidates, record, caller_wait_s
+        owner, candidates, record, caller_wait_s
     ):
         return Outcome.REFUSED, admission.RETRY_MAX_S, evacuation.EVACUATED
     work, cores = work_and_cores(owner, record)
--- a/turmericknot/scheduling/pending.py
+++ b/turmericknot/scheduling/pending.py
@@ -3,6 +3,8 @@
 from . import admission, workers
 from .jobs import TaskStatus
 
+MAX_KNOWN_SHAPES = 1000  # of tasks, for which it is kept whether they are out of reach
+
 
 def enqueue_ready_steps(owner, job):
     """Enqueue the tasks of all steps whose earlier steps have ended."""
@@ -56,6 +58,8 @@
         spec.accelerators,
     )
     if shape not in known:
+        if len(known) >= MAX_KNOWN_SHAPES:
+            known.clear()
         agents = owner.agents.values()
         known[shape] = workers.fits_only_evacuated(agents, service, spec)
     return known[shape]
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -220,11 +220,11 @@
 
 def start_refused(state, name, reason):
     """Remove a run that the worker did not start, and notify its owner."""
-    if state.evacuation.is_evacuated and reason in ("no_grant", EVACUATED):
-        reason = EVACUATED  # also of a call that was not sent for this
-        state.evacuation.refused_starts += 1
     run = state.runs.pop(name, None)
     if run is not None:
+        if state.evacuation.is_evacuated and reason in ("no_grant", EVACUATED):
+            reason = EVACUATED  # also of a call that was not sent for this
+            state.evacuation.refused_starts += 1
         send(state, run.shard, RunsRefused(run.shard, [RefusedRun(name, reason)]))
 
 
