Play failing and slow workers on the model, with and without the agent's word

The model connects WorkerHealth; a variant turns it on, and failing workers can fail a share of their runs, at once or at their end.

Run: tests/scheduling/test_worker_health.py, tests/model, tests/management/test_examples.py: passed.

--- a/turmericknot/model/agent.py
+++ b/turmericknot/model/agent.py
@@ -3,6 +3,7 @@
 from turmericknot.scheduling import (
     usage_reports,
     worker_crashes,
+    worker_health,
     worker_leases,
     worker_lists,
     worker_pace,
@@ -51,6 +52,8 @@
         self._state = worker_runs.create_worker_runs(
             1, worker_runs.GRANT_S, MAX_LEASE_S, self._clock.now
         )
+        if site.worker_health:
+            worker_health.enable(self._state, self._clock.now)
         self._grant_requests = {}  # number of an entry -> GrantRequests
         self._known_usage = {}  # number of an entry -> EntryUsage
         self._is_renewal_due = False
@@ -83,6 +86,7 @@
         self._grant_requests.pop(entry, None)
         self._known_usage.pop(entry, None)
         worker_leases.stream_closed(self._state, entry)
+        worker_health.stream_closed(self._state, entry)
 
     def receive(self, entry, message):
         """Handle a message of an entry."""
@@ -123,6 +127,14 @@
                     delay_s = self._site.call_delay_s
                     self._clock.call_later(delay_s, self.worker.stop, command.name)
         self._attach_usage(addressed)
+        if worker_health.pop_change(self._state, self._clock.now):
+            self._attach_health(self._grant_requests)
+
+    def _attach_health(self, entries):
+        for entry, message in worker_health.due_reports(
+            self._state, entries, self._clock.now
+        ):
+            self._site.send_to_entry(self.name, entry, message)
 
     def _attach_usage(self, entries):
         if not entries:
@@ -132,6 +144,7 @@
             known = self._known_usage.get(entry)
             if known is not None and usage.foreign_to(entry) != known.usage:
                 self._report_usage(entry, usage.foreign_to(entry))
+        self._attach_health(entries)
 
     def _report_usage(self, entry, foreign_usage):
         self._known_usage[entry].record_report(foreign_usage, self._clock.now)
--- a/turmericknot/model/worker.py
+++ b/turmericknot/model/worker.py
@@ -1,5 +1,7 @@
 """A simulated worker: runs with durations, and lists of running and ended runs."""
 
+import random
+
 from turmericknot.scheduling.jobs import RunEnd
 from turmericknot.scheduling.worker_types import (
     LeaseRenewalResult,
@@ -16,7 +18,9 @@
 
     __slots__ = (
         "slowdown",
-        "is_failing",
+        "failed_share",
+        "fails_at_once",
+        "_rng",
         "is_down",
         "_born",
         "_clock",
@@ -30,7 +34,9 @@
 
     def __init__(self, clock, life_id, cpu, speed, on_end):
         self.slowdown = 1 / speed
-        self.is_failing = False
+        self.failed_share = 0.0
+        self.fails_at_once = False  # failed runs end as soon as they start
+        self._rng = random.Random(life_id)
         self.is_down = False  # between a crash and the report of the next process
         self._born = 1
         self._clock = clock
@@ -62,8 +68,11 @@
         """Start a run that takes ``run_s`` on a worker of speed 1."""
         duration_s = run_s * self.slowdown
         now = self._clock.now
+        how = RunEnd.DONE
+        if self.failed_share and self._rng.random() < self.failed_share:
+            how = RunEnd.FAILED
+            duration_s *= not self.fails_at_once
         self._running[name] = (now, now + duration_s)
-        how = RunEnd.FAILED if self.is_failing else RunEnd.DONE
         self._clock.call_later(duration_s, self._end, name, how)
 
     def crash(self):
--- a/turmericknot/scheduling/worker_health.py
+++ b/turmericknot/scheduling/worker_health.py
@@ -8,9 +8,10 @@
 Jobs that can never be done are up to 5% of a queue for some seconds, and fail on sound
 workers, too. The evidence is the logarithm of the likelihood of a failed share of one
 half against one of 5%, with base 10: a failure adds 1, a success takes off 0.28. At
-2.7, five hundred to one, the worker is suspended: after three failures in a row, or
-about ten runs of which half fail. At a failed share of 0.2%, that happens once in tens
-of millions of runs.
+2.9, eight hundred to one, the worker is suspended: after three failures in a row, or
+about nine runs of which half fail. At a failed share of 0.2%, that happens once in
+about a hundred million runs. Two failures would do for that share alone, but with
+hopeless jobs they would suspend a tenth of the sound workers.
 
 Each job counts once. A task that has failed elsewhere before does not count, and for
 some seconds after such a task has failed here as well, failures of its queue count
@@ -27,7 +28,7 @@
 from .worker_types import AgentLogLine
 
 SHARE_OF_SUCCESS = 0.28  # evidence that one success takes off
-EVIDENCE_TO_SUSPEND = 2.7
+EVIDENCE_TO_SUSPEND = 2.9
 HOPELESS_QUEUE_WEIGHT = 0.5
 HOPELESS_QUEUE_MEMORY_S = 3.0
 MAX_REMEMBERED_JOBS = 16  # whose failures count no second time
