Measure recovery from a slowdown by runs that began after it

Runs that began before end first, at the usual pace, and made a slow worker look recovered within a moment.

--- a/turmericknot/scheduling/worker_health.py
+++ b/turmericknot/scheduling/worker_health.py
@@ -183,9 +183,10 @@
         if self._evidence >= EVIDENCE_TO_SUSPEND:
             self.suspend(reason, now)
 
-    def observe_run(self, queue, ratio, now):
-        """Update the speed with the ratio of run time to expected run time."""
-        self.speed.observe_run(queue, ratio, now)
+    def observe_run(self, run, run_s, now):
+        """Update the speed with a run that took ``run_s``."""
+        ratio = run_s / run.expected
+        self.speed.observe_run(run.queue, ratio, run.confirmed_at, now)
         self._adopt_speed()
 
     def observe_pace(self, pace, now):
@@ -237,7 +238,7 @@
     if how is RunEnd.DONE:
         health.count_success(run, now)
         if run_s > 0 and run.expected > 0:
-            health.observe_run(run.queue, run_s / run.expected, now)
+            health.observe_run(run, run_s, now)
     elif how is RunEnd.FAILED:
         health.count_failure(run, "failed", now)
     _log_change(state, health, before)
--- a/turmericknot/scheduling/worker_speed.py
+++ b/turmericknot/scheduling/worker_speed.py
@@ -40,6 +40,7 @@
         "_usual",
         "_sudden",
         "_sudden_at",
+        "_slow_since",
         "_recent",
     )
 
@@ -50,6 +51,7 @@
         self._usual = 1.0  # mean over the queues
         self._sudden = 1.0  # factor of a sudden slowdown; 1 without one
         self._sudden_at = now  # when the factor was last measured or reduced
+        self._slow_since = now  # when a sudden slowdown was last found, or had ended
         self._recent = deque(maxlen=RECENT_RUNS)  # ratios to the usual run time
 
     @property
@@ -72,10 +74,16 @@
         """Return when the speed was last measured."""
         return self._observed_at
 
-    def observe_run(self, queue, ratio, now):
-        """Update the speed with the ratio of run time to expected run time."""
+    def observe_run(self, queue, ratio, started_at, now):
+        """Update the speed with the ratio of run time to expected run time.
+
+        Once the worker has turned slow, the runs that end first are those that began
+        before: they do not show that it has recovered.
+        """
         self._runs += 1
         self._observed_at = now
+        if self.is_slow and started_at < self._slow_since:
+            return
         self._recent.append(min(ratio / self._usual, MAX_RECENT_RATIO))
         if self.is_slow:
             self._measure_slowdown(now)
@@ -85,11 +93,12 @@
             self._average(queue, ratio)
 
     def observe_pace(self, pace, now):
-        """Detect a sudden slowdown from the median pace of the current runs."""
+        """Detect or confirm a sudden slowdown by the median pace of current runs."""
         ratio = 1 / (pace * self._usual)
-        if not self.is_slow and ratio > SLOW_CURRENT_RATIO:
+        if self.is_slow and ratio > RECOVERED_RATIO:
+            self._observed_at = self._sudden_at = now
+        elif not self.is_slow and ratio > SLOW_CURRENT_RATIO:
             self._observed_at = now
-            self._recent.clear()
             self._set_sudden(ratio, now)
 
     def forget_old_slowdown(self, now):
@@ -108,9 +117,11 @@
             self._set_sudden(max(_mean(self._recent), RECOVERED_RATIO), now)
 
     def _set_sudden(self, factor, now):
+        was_slow = self.is_slow
         self._sudden_at = now
         self._sudden = factor if factor >= FORGOTTEN_RATIO else 1.0
-        if not self.is_slow:
+        if self.is_slow != was_slow:
+            self._slow_since = now
             self._recent.clear()
 
     def _average(self, queue, ratio):
