--- a/tests/node/test_entry_links.py
+++ b/tests/node/test_entry_links.py
@@ -7,7 +7,8 @@
 
 from turmericknot.node import entry_links
 from turmericknot.node.registration import STALE_REGISTRATION_AGE_S, Registration
-from turmericknot.scheduling import neighborhood, worker_runs
+from turmericknot.scheduling import neighborhood, worker_health, worker_runs
+from turmericknot.scheduling.worker_health import HealthState
 from turmericknot.scheduling.worker_types import WorkerLife
 from turmericknot.wire import shard_messages as wire
 
@@ -144,3 +145,28 @@
     register(created, [2, 3, 4], at=1000.0 + STALE_REGISTRATION_AGE_S + 1)
     created._choose_entries()
     assert not any(link.leaving_since for link in created._entries.values())
+
+
+def test_every_entry_is_told_the_health_of_the_worker(links):
+    """Guards against an entry that joins, or has no runs, and is not told."""
+    created, recording = links
+    state = created._runs
+    worker_health.enable(state, 0.0)
+
+    def told():
+        words = [s for s in recording.sent if isinstance(s[1], wire.WorkerHealth)]
+        recording.sent.clear()
+        return [(stream, word.state) for stream, word in words]
+
+    register(created, range(2))
+    for stream, address in enumerate(recording.dialed):
+        created._on_opened(stream, wire.Grant(0, [], True), address)
+        assert told() == [(stream, HealthState.SOUND)]
+    created.report_health_changes()
+    assert told() == []
+    worker_health.run_stuck(state, entry_links.steady_time())
+    created.report_health_changes()
+    assert told() == [(0, HealthState.FAILING), (1, HealthState.FAILING)]
+    created._on_closed(0, "closed")
+    created._on_opened(2, wire.Grant(0, [], True), list(recording.dialed)[0])
+    assert told() == [(2, HealthState.FAILING)]
