--- a/tests/scheduling/test_leaving.py
+++ b/tests/scheduling/test_leaving.py
@@ -10,7 +10,6 @@
 from .site import FULL_RUN_S, JOB_ID, create_job_record
 
 NOTICE_S = 1.6
-EXPECTED_RUN_S = FULL_RUN_S
 
 
 @pytest.fixture
@@ -20,7 +19,7 @@
 
 def submit_long_job(site, entry, job=JOB_ID, tasks=1, **fields):
     fields.setdefault("priority", 1)
-    record = create_job_record(tasks, estimate=EXPECTED_RUN_S, **fields)
+    record = create_job_record(tasks, estimate=FULL_RUN_S, **fields)
     entry.submit_best_effort(job, site.now, job, record, wait=60.0)
     site.deliver_all()
 
