Choose workers by expected end, and wait for a rack as long as it pays

A free worker far from the data of a task always beat a full one near it, however much longer the task takes there; jobs with slack took the fast workers that tight ones need; far runs counted as slowness of their worker and as longer run times.

The choice moves to scheduling/placement.py and compares expected ends: the wait for capacity plus the run time, which holds the speed of the worker and the distance to the data (bounds.far_factor). Jobs with slack and late jobs take slow workers first; others avoid racks in demand where that costs no time. A task whose near workers are all full waits while a near place is expected to end it sooner than the far worker at hand (place_wait.py); a timer, a lost worker of the rack and each pass decide again. Passes over waiting tasks keep what they need more than once in offers.py. Observed run times are freed of the distance and, for the queue, of the worker's speed.

--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from turmericknot.scheduling import admission, workers
+from turmericknot.model.description import Experiment, Kind, Variant
+from turmericknot.model.play import play_run
+from turmericknot.scheduling import admission, placement, workers
 from turmericknot.scheduling.estimates import create_run_times
 from turmericknot.scheduling.jobs import StepSpec, create_job
 from turmericknot.scheduling.waiting import create_waiting_jobs
@@ -231,3 +233,100 @@
         name for name in answered_at if answered_at[name] - submitted_at[name] <= 1.15
     ]
     assert len(in_time) >= 0.4 * len(submitted_at)
+
+
+def test_full_worker_near_the_data_may_end_a_task_sooner():
+    """A free worker far away must not win when the wait for a near one is short."""
+    near, far = create_view("near", 10_000), create_view("far", 10_000, labels=("a",))
+    near.foreign_cpu = 10_000
+    task = create_task(priority=0, data_rack="r1-1", estimate=0.1)
+    for far_factor, expected in ((1.0, "far"), (1.25, "far"), (2.0, "near")):
+        terms = placement.Terms(0.1, far_factor, drain_s=0.3)
+        chosen = placement.choose_agent([near, far], task, NOW, terms=terms)
+        assert chosen.id == expected
+
+
+@pytest.mark.parametrize(
+    ("due_in_s", "is_late", "expected"),
+    [(9.0, False, "slow"), (0.4, False, "fast"), (-1.0, True, "slow")],
+)
+def test_jobs_with_slack_and_late_jobs_leave_fast_workers(due_in_s, is_late, expected):
+    """Tight jobs cannot use slow workers; a worker out of order is no such worker."""
+    views = [create_view("fast"), create_view("slow"), create_view("broken")]
+    for view, slowdown in zip(views, (0.8, 1.8, 3.5), strict=True):
+        view.slowdown = slowdown
+    terms = placement.Terms(0.3, latest_end=NOW + due_in_s, is_late=is_late)
+    assert placement.choose_agent(views, create_task(), NOW, terms=terms).id == expected
+
+
+def test_workers_of_racks_in_demand_are_left_to_tasks_with_data_there():
+    """They are, as long as that costs the other tasks no time."""
+    hot, cold = create_view("hot"), create_view("cold", labels=("r2-1",))
+    cold.foreign_cpu = 2000
+    terms = placement.Terms(0.3, demand={"r1-1": 4})
+    for slowdown, expected in ((1.0, cold), (1.5, hot)):
+        cold.slowdown = slowdown
+        task = create_task()
+        assert placement.choose_agent([hot, cold], task, NOW, terms=terms) is expected
+
+
+def former_choice(agents, task):
+    """Return the agent by the rank that knew neither distance nor due times."""
+    best = best_score = None
+    overcommit = workers.URGENT_OVERCOMMIT_SHARE if not task.job.record.priority else 0
+    for agent in agents:
+        if not placement.is_candidate(agent, task, NOW, overcommit):
+            continue
+        is_full = bool(overcommit) and not workers.has_capacity(agent, task.spec)
+        usage = (agent.used_cpu + agent.foreign_cpu) / agent.worker.cpu
+        score = (is_full, 0 if is_full else 4, usage)
+        if best is None or score < best_score:
+            best, best_score = agent, score
+    return best
+
+
+def test_choice_is_unchanged_without_data_and_with_equal_workers():
+    """Replays random starts and ends; guards sites without distance or slow workers."""
+    rng = Random(7)
+    views = [create_view(f"w{number}", cpu=8000) for number in range(20)]
+    for _ in range(3000):
+        task = create_task(priority=rng.randrange(3), cpu=rng.choice((1000, 1600)))
+        terms = placement.Terms(0.2, 1.0, NOW + rng.uniform(-1, 9), rng.random() < 0.1)
+        chosen = placement.choose_agent(views, task, NOW, terms=terms)
+        assert chosen is former_choice(views, task)
+        if chosen is not None and rng.random() < 0.9:
+            chosen.foreign_cpu += task.spec.cpu
+        view = rng.choice(views)
+        view.foreign_cpu = max(0, view.foreign_cpu - rng.randrange(2000))
+
+
+def test_last_end_leaves_time_for_the_steps_behind():
+    steps = [
+        StepSpec(count=1, estimate=estimate, after=after)
+        for estimate, after in ((0.1, ()), (0.2, (0,)), (0.4, (0,)), (0.8, (1,)))
+    ]
+    job = create_job("j", 0, create_job_record(steps=steps), NOW)
+    ends = [placement.latest_end(create_run_times(), job, n) - NOW for n in range(4)]
+    assert ends == pytest.approx([-1.0, -0.8, 0.0, 0.0])
+
+
+@pytest.mark.parametrize("load", [0.6, 0.85, 1.0])
+def test_tight_jobs_find_fast_workers(load):
+    """Replays tight and loose jobs on workers of speeds 1 : 3.
+
+    With the fast workers first for all jobs, tight ones get what is left.
+    """
+    tight = Kind("tight", 53 * load, 2, 1000, 0.5, priority=1, spread=0.1)
+    loose = Kind("loose", 24 * load, 2, 1000, 1.5, priority=1, spread=0.1)
+    loose.objective_s = 6.0
+    experiment = Experiment(2, 12, 10_000, [tight, loose], duration_s=6.0)
+    experiment.worker_speeds = (0.55, 1.2, 1.2, 1.2)
+    fast_first = Variant("fast first", {"placement.MAX_USEFUL_SLOWDOWN": 0.0})
+    kinds = [
+        play_run(experiment, variant, 1)["kinds"]
+        for variant in (Variant("as is"), fast_first)
+    ]
+    gain = kinds[0]["tight"]["in_time"] - kinds[1]["tight"]["in_time"]
+    # At the lowest load, the fast workers have room for all.
+    assert gain > 0 or (load == 0.6 and gain == 0)
+    assert kinds[0]["loose"]["in_time"] >= kinds[1]["loose"]["in_time"]
--- a/turmericknot/model/agent.py
+++ b/turmericknot/model/agent.py
@@ -41,12 +41,12 @@
         "_is_renewal_due",
     )
 
-    def __init__(self, site, name, cpu, speed):
+    def __init__(self, site, name, cpu, speed, labels):
         self.name = name
         self._site = site
         self._clock = site.clock
         self.worker = create_worker(
-            self._clock, f"i-{name}", cpu, speed, self._schedule_renewal
+            self._clock, f"i-{name}", cpu, speed, self._schedule_renewal, labels
         )
         self._state = worker_runs.create_worker_runs(
             1, worker_runs.GRANT_S, MAX_LEASE_S, self._clock.now
@@ -147,7 +147,7 @@
             worker_starts.start_refused(self._state, call.name, "unreachable")
             self._record_unreachable()
             return
-        run_s = site.duration_of(call.name)
+        run_s = site.duration_of(call.name, self.worker.labels)
         self._clock.call_later(site.call_delay_s, self.worker.start, call.name, run_s)
         self._clock.call_later(2 * site.call_delay_s, self._start_confirmed, call)
         crash_delay_s = site.crash_delay_of(call.name)
@@ -239,6 +239,6 @@
             self._report_usage(entry, foreign_usage)
 
 
-def create_agent(site, name, cpu, speed):
+def create_agent(site, name, cpu, speed, labels):
     """Return an agent that has not started."""
-    return ModelAgent(site, name, cpu, speed)
+    return ModelAgent(site, name, cpu, speed, labels)
--- a/turmericknot/model/description.py
+++ b/turmericknot/model/description.py
@@ -22,6 +22,8 @@
     objective_s: float = 0.06
     attempts: int = 4
     wait_s: float = 10.0  # how long its callers wait
+    has_data: bool = False  # whether its tasks have data on a rack
+    hot_share: float = 0.0  # of its jobs, those with data on the hot rack
 
 
 class Wave(msgspec.Struct, forbid_unknown_fields=True):
@@ -69,6 +71,10 @@
     kinds: list[Kind]
     duration_s: float = 30.0
     worker_speeds: tuple[float, ...] = (1.0,)  # assigned in turn
+    racks: int = 0  # to which the workers belong in turn
+    far_factor: float = 1.0  # how much longer tasks run away from their data
+    hot_racks: int = 1  # racks that are the hot one in turn
+    hot_period_s: float = 10.0  # how long a rack is the hot one
     link_delay_s: float = 0.001
     call_delay_s: float = 0.001  # of a call to a worker, one way
     wave: Wave = msgspec.field(default_factory=Wave)
@@ -97,11 +103,17 @@
     return experiment
 
 
+def _has_data(experiment):
+    return any(kind.has_data for kind in experiment.kinds)
+
+
 def _find_problems(experiment):
     for name in ("entries", "agents", "worker_cpu", "duration_s"):
         value = getattr(experiment, name)
         if value <= 0:
             yield f"{name}: found {value}; allowed: above 0"
+    if experiment.racks < (experiment.hot_racks if _has_data(experiment) else 0):
+        yield f"racks: found {experiment.racks}; allowed: hot_racks or more"
     if not experiment.kinds:
         yield "kinds: found none; allowed: one or more"
     for number, kind in enumerate(experiment.kinds):
--- a/turmericknot/model/play.py
+++ b/turmericknot/model/play.py
@@ -40,8 +40,10 @@
     with replaced_constants(variant.constants):
         site = create_site(experiment, seed)
         results = site.play()
-    return {"variant": variant.name, "seed": seed} | summarize(
-        results, site.messages, experiment
+    return (
+        {"variant": variant.name, "seed": seed}
+        | summarize(results, site.messages, experiment)
+        | {"runs_by_distance": site.runs_by_distance}
     )
 
 
--- a/turmericknot/model/site.py
+++ b/turmericknot/model/site.py
@@ -19,6 +19,7 @@
 
 LEAD_S = 4.0  # before the first job: connections and grants
 TICK_INTERVAL_S = 0.1
+MIN_TIMER_S = 0.005
 CRASH_DELAY_S = 0.01  # from the start of a deadly task to the crash of its worker
 
 
@@ -68,12 +69,16 @@
         "lost_answer_share",
         "results",
         "messages",
+        "runs_by_distance",
         "_experiment",
         "_entries",
         "_agents",
         "_entries_of_agent",
         "_durations",
+        "_data_racks",
+        "_place_timers",
         "_last_job",
+        "_data_rng",
         "_deadly_rng",
         "_deadly_trouble",
         "_deadly_tasks",
@@ -88,12 +93,16 @@
         self.lost_answer_share = 0.0
         self.results = []
         self.messages = {}  # kind of message -> number sent
+        self.runs_by_distance = {"near": 0, "far": 0}
         self._experiment = experiment
         self._entries = [ModelEntry(number) for number in range(experiment.entries)]
         self._agents = {}
         self._entries_of_agent = {}  # name of an agent -> numbers of its entries
         self._durations = {}  # (job, step, index) -> seconds at speed 1
+        self._data_racks = {}  # job -> rack of its data
+        self._place_timers = set()  # numbers of entries with a timer
         self._last_job = 0
+        self._data_rng = random.Random(f"data {seed}")
         # Which jobs are deadly does not change the other jobs of the same seed.
         self._deadly_rng = random.Random(f"deadly {seed}")
         self._deadly_trouble = None
@@ -107,9 +116,10 @@
         speeds = experiment.worker_speeds
         for number in range(experiment.agents):
             name = f"side-{number}"
-            agent = create_agent(
-                self, name, experiment.worker_cpu, speeds[number % len(speeds)]
-            )
+            labels = [f"r{number % experiment.racks}"] if experiment.racks else []
+            # Racks take turns first, so that each has workers of all speeds.
+            speed = speeds[number // max(experiment.racks, 1) % len(speeds)]
+            agent = create_agent(self, name, experiment.worker_cpu, speed, labels)
             self._agents[name] = agent
             agent.start(self.rng.uniform(0.0, 0.25))
             chosen = self._choose_entries(name)
@@ -172,6 +182,22 @@
                     )
                 elif isinstance(command, AnswerRequest):
                     self._record_answer(command)
+        if entry.owner is not None:
+            self._set_place_timer(entry)
+
+    def _set_place_timer(self, entry):
+        returns_at = entry.owner.placement_events.next_job_return_at
+        if returns_at is None or entry.number in self._place_timers:
+            return
+        self._place_timers.add(entry.number)
+        delay_s = max(returns_at - self.clock.now, MIN_TIMER_S)
+        self.clock.call_later(delay_s, self._end_place_waits, entry)
+
+    def _end_place_waits(self, entry):
+        self._place_timers.discard(entry.number)
+        if entry.owner is not None:
+            runs.schedule_tasks(entry.owner, self.clock.now)
+            self._execute_commands(entry)
 
     def _count(self, message):
         kind = type(message).__name__
@@ -179,9 +205,15 @@
 
     # Callers.
 
-    def duration_of(self, name):
-        """Return the seconds that a run takes on a worker of speed 1."""
-        return self._durations[name.job, name.step, name.index]
+    def duration_of(self, name, labels):
+        """Return the seconds that a run takes on a worker of speed 1 on these racks."""
+        run_s = self._durations[name.job, name.step, name.index]
+        rack = self._data_racks.get(name.job)
+        if rack is None:
+            return run_s
+        is_near = rack in labels
+        self.runs_by_distance["near" if is_near else "far"] += 1
+        return run_s if is_near else run_s * self._experiment.far_factor
 
     def crash_delay_of(self, name):
         """Return the seconds until a run crashes its worker, or None; count it."""
@@ -230,7 +262,7 @@
             self._deadly_tasks[job_id, 0, 0] = result
         if entry.owner is None:
             return  # no connection
-        record = _create_record(kind)
+        record = _create_record(kind, self._draw_data_rack(kind, job_id))
         now = self.clock.now
         besteffort.run_job(
             entry.owner, entry.shard, job_id, record, result, now + kind.wait_s, now
@@ -238,6 +270,18 @@
         runs.schedule_tasks(entry.owner, now)
         self._execute_commands(entry)
 
+    def _draw_data_rack(self, kind, job_id):
+        """Return the rack of the data of a new job, or an empty string."""
+        if not kind.has_data:
+            return ""
+        experiment = self._experiment
+        elapsed_s = self.clock.now - LEAD_S
+        rack = int(elapsed_s / experiment.hot_period_s) % experiment.hot_racks
+        if self._data_rng.random() >= kind.hot_share:
+            rack = self._data_rng.randrange(experiment.racks)
+        self._data_racks[job_id] = f"r{rack}"
+        return self._data_racks[job_id]
+
     def _is_deadly(self, kind):
         trouble = self._deadly_trouble
         if trouble is None or trouble.job_kind not in ("", kind.name):
@@ -258,7 +302,10 @@
     def _start_entry(self, entry):
         entry.boots += 1
         entry.owner = owners.create_owner(
-            None, random.Random(self.rng.random()), self.clock.now
+            None,
+            random.Random(self.rng.random()),
+            self.clock.now,
+            self._experiment.far_factor,
         )
         shard_number = entry.number + len(self._entries) * entry.boots
         entry.shard = besteffort.open_best_effort_shard(entry.owner, shard_number)
@@ -316,9 +363,13 @@
                 agent.connect(entry.number)
 
 
-def _create_record(kind):
+def _create_record(kind, data_rack):
     step = StepSpec(
-        count=kind.tasks, cpu=kind.cpu, memory=kind.memory_mb, estimate=kind.run_s
+        count=kind.tasks,
+        cpu=kind.cpu,
+        memory=kind.memory_mb,
+        estimate=kind.run_s,
+        data_rack=data_rack,
     )
     return JobRecord(
         queue=kind.name,
--- a/turmericknot/model/worker.py
+++ b/turmericknot/model/worker.py
@@ -22,13 +22,15 @@
         "_clock",
         "_life_id",
         "_cpu",
+        "labels",
         "_running",
         "_ends",
         "_last_number",
         "_on_end",
     )
 
-    def __init__(self, clock, life_id, cpu, speed, on_end):
+    def __init__(self, clock, life_id, cpu, speed, on_end, labels):
+        self.labels = labels
         self.slowdown = 1 / speed
         self.is_failing = False
         self.is_down = False  # between a crash and the report of the next process
@@ -52,7 +54,7 @@
             self._cpu,
             MEMORY_MB,
             0,
-            [],
+            self.labels,
             now,
             now,
             1,
@@ -104,6 +106,6 @@
         )
 
 
-def create_worker(clock, life_id, cpu, speed, on_end):
+def create_worker(clock, life_id, cpu, speed, on_end, labels):
     """Return a worker without runs; ``on_end()`` is called when a run has ended."""
-    return ModelWorker(clock, life_id, cpu, speed, on_end)
+    return ModelWorker(clock, life_id, cpu, speed, on_end, labels)
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -47,6 +47,7 @@
 from .traffic_log import log_traffic
 
 TICK_INTERVAL_S = 0.1
+MIN_TIMER_S = 0.005  # far below a run; no timer fires more often
 REQUEST_TIMEOUT_S = 1.4  # shorter than the usual deadline of a client
 # States of finished jobs are kept this much longer than the platform requires.
 STATE_RETENTION_MARGIN_S = 5.0
@@ -127,6 +128,7 @@
         "_best_effort_shard",
         "_exit_deadline",
         "_registrar",
+        "_place_wait_timer",
     )
 
     def __init__(self, settings):
@@ -137,7 +139,13 @@
         times = OwnerTimes(
             finished_job_retention_s=settings.bounds.keep_s + STATE_RETENTION_MARGIN_S
         )
-        self.owner = create_owner(times, random.Random(boot_id), steady_time())
+        self.owner = create_owner(
+            times,
+            random.Random(boot_id),
+            steady_time(),
+            settings.bounds.far_factor,
+        )
+        self._place_wait_timer = None
         self.store = create_store(settings.store.address, settings.store.partitions)
         callbacks = LinkCallbacks(
             self._on_opened,
@@ -180,6 +188,22 @@
             for command in owner.pop_commands():
                 self._execute_command(command)
         self.links.flush()
+        self._set_place_wait_timer()
+
+    def _set_place_wait_timer(self):
+        """Decide again when the first wait for a rack no longer pays."""
+        returns_at = self.owner.placement_events.next_job_return_at
+        if returns_at is None or self._place_wait_timer is not None:
+            return
+        delay_s = max(returns_at - steady_time(), MIN_TIMER_S)
+        self._place_wait_timer = asyncio.get_running_loop().call_later(
+            delay_s, self._end_place_waits
+        )
+
+    def _end_place_waits(self):
+        self._place_wait_timer = None
+        runs.schedule_tasks(self.owner, steady_time())
+        self.execute_commands()
 
     def update_peers(self):
         """Connect to the current owners of the other shards."""
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -112,6 +112,7 @@
         "suspect_since",
         "backlog_level",
         "backlog_work",
+        "place_wait_since",
     )
 
     def __init__(self, job, step, index):
@@ -128,6 +129,7 @@
         self.suspect_since = None
         self.backlog_level = 0  # where it adds to the backlog
         self.backlog_work = 0.0  # core-seconds that it adds to the backlog
+        self.place_wait_since = None  # when it first waited for the rack of its data
 
     @property
     def spec(self):
@@ -163,6 +165,7 @@
         "finished_at",
         "deadline_at",
         "next_submission",
+        "logged_place_events",
     )
 
     def __init__(self, job_id, shard, record, now):
@@ -184,6 +187,7 @@
         self.due_at = now
         self.finished_at = now
         self.deadline_at = None  # when the caller of a best-effort job gives up
+        self.logged_place_events = ()  # each is logged once
         self.next_submission = None  # starts when the runs of this one have ended
 
     @property
--- /dev/null
+++ b/turmericknot/scheduling/offers.py
@@ -0,0 +1,245 @@
+"""One pass over waiting tasks: which agent each is offered, and which ones wait.
+
+What a pass needs more than once, of agents, racks and jobs, is computed once.
+"""
+
+from . import confinement, place_wait, placement, quarantine, workers
+from .owner import log
+
+# Jobs examined in one pass that wait for their rack and are not counted as skipped.
+MAX_EXAMINED_WAITS = 32
+
+
+class Offer:
+    """The agents that a pass offers to waiting tasks."""
+
+    __slots__ = (
+        "_owner",
+        "_agent_ids",
+        "_is_recorded",
+        "_now",
+        "_usable_agents",
+        "_candidates",
+        "_near",
+        "_cells",
+        "_avoided",
+        "_racks",
+        "_terms",
+        "_examined_waits",
+    )
+
+    def __init__(self, owner, agent_ids, is_recorded, now):
+        self._owner = owner
+        self._agent_ids = agent_ids
+        self._is_recorded = is_recorded
+        self._now = now
+        self._usable_agents = None
+        self._candidates = {}  # shard number -> agents that may get its runs
+        self._near = {}  # (shard number, rack) -> those of them on the rack
+        self._cells = {}  # service -> ids of the agents that confined queues may use
+        self._avoided = {}  # service -> ids of the agents that other tasks should avoid
+        self._racks = {}  # (service, rack) -> RackUse
+        self._terms = (None, None)  # (job, step) and its Terms
+        self._examined_waits = 0
+
+    def order_jobs(self, jobs):
+        """Return the jobs in the order in which they are offered the agents.
+
+        Those of the highest priority that wait for the rack of one of the agents come
+        first: no other job gains as much there.
+        """
+        places = self._owner.places
+        if not jobs or not places.waits or self._agent_ids is self._owner.agents:
+            return jobs
+        labels = dict.fromkeys(
+            label for name in self._agent_ids for label in places.labels_of(name)
+        )
+        priority = jobs[0].record.priority
+        waiting = [
+            job
+            for job in places.waits.jobs_waiting_for(labels)
+            if job.record.priority == priority
+        ]
+        if not waiting:
+            return jobs
+        first = {job.id for job in waiting}
+        return waiting + [job for job in jobs if job.id not in first]
+
+    def examine_wait(self, job):
+        """Return whether the job waits for its rack and need not count as skipped."""
+        if not self._owner.places.waits.has_job(job):
+            return False
+        self._examined_waits += 1
+        return self._examined_waits <= MAX_EXAMINED_WAITS
+
+    def choose_agent(self, shard, task, is_confined):
+        """Return the agent for a task, or None if no worker has capacity."""
+        service = task.job.record.service
+        if service not in self._cells:
+            self._divide_agents(service)
+        agents = self._candidates_of(shard)
+        near = self._near_agents(shard, task.spec.data_rack)
+        if is_confined:
+            cell = self._cells[service]
+            agents = [agent for agent in agents if agent.id in cell]
+            near = [agent for agent in near if agent.id in cell]
+        return placement.choose_agent_from_sample(
+            agents,
+            task,
+            self._now,
+            self._owner.rng,
+            self._avoided[service],
+            self._terms_of(task),
+            near,
+        )
+
+    def _candidates_of(self, shard):
+        owner = self._owner
+        if self._usable_agents is None:
+            views = [owner.agents[agent_id] for agent_id in self._agent_ids]
+            self._usable_agents = [v for v in views if workers.is_usable(v, self._now)]
+        if shard.number not in self._candidates:
+            self._candidates[shard.number] = [
+                agent
+                for agent in self._usable_agents
+                if self._is_recorded(owner, shard, agent)
+            ]
+        return self._candidates[shard.number]
+
+    def _near_agents(self, shard, rack):
+        """Return the candidates on a rack, a sample of them at most."""
+        candidates = self._candidates_of(shard)
+        if not rack or len(candidates) <= workers.AGENT_SAMPLE_SIZE:
+            return ()
+        key = (shard.number, rack)
+        if key not in self._near:
+            owner = self._owner
+            near = [
+                agent
+                for agent in owner.places.agents_of(rack)
+                if workers.is_usable(agent, self._now)
+                and self._is_recorded(owner, shard, agent)
+            ]
+            if len(near) > workers.AGENT_SAMPLE_SIZE:
+                near = owner.rng.sample(near, workers.AGENT_SAMPLE_SIZE)
+            self._near[key] = [agent for agent in near if agent.id in self._agent_ids]
+        return self._near[key]
+
+    def _divide_agents(self, service):
+        """Find the agents that confined queues may use, and those to avoid."""
+        owner = self._owner
+        agents = owner.agents.values()
+        avoided = quarantine.quarantine_agents(
+            agents, service, self._now, owner.crash_history.last_suspect_at
+        )
+        cell = frozenset()
+        if owner.confined_queues:
+            cell = confinement.cell_agents(agents, service)
+        self._cells[service], self._avoided[service] = cell, cell | avoided
+
+    def _terms_of(self, task):
+        job = task.job
+        known, terms = self._terms
+        if known != (job, task.step):
+            owner, record = self._owner, job.record
+            terms = placement.Terms(
+                owner.run_times.expected_run_s(record.queue, task.spec),
+                owner.places.far_factor,
+                placement.latest_end(owner.run_times, job, task.step),
+                owner.waiting.is_late(job),
+                owner.places.drain_s(record.service),
+                owner.places.demand_levels(record.service, self._now),
+            )
+            self._terms = ((job, task.step), terms)
+        return terms
+
+    def pays_to_wait(self, task, agent):
+        """Return whether the task waits for its rack instead of running at the agent.
+
+        A job that is late already gains nothing by a place that another needs.
+        """
+        owner, places = self._owner, self._owner.places
+        if places.far_factor <= 1.0 or not placement.is_far(agent, task.spec):
+            return False
+        terms = self._terms_of(task)
+        use = self._rack_use(task)
+        since = task.place_wait_since
+        wait = place_wait.WaitTerms(
+            near_start_s=place_wait.near_start_s(
+                use, places.waits.cpu_ahead(task), task.spec.cpu, places.own_share
+            ),
+            near_run_s=terms.run_s * use.slowdown,
+            far_end_s=placement.expected_end_s(agent, task.spec, terms),
+            latest_end_s=terms.latest_end - self._now,
+            waited_s=0.0 if since is None else self._now - since,
+        )
+        remaining_s = 0.0 if terms.is_late else place_wait.remaining_wait_s(wait)
+        if remaining_s <= 0:
+            if places.waits.end(task):
+                owner.count("place_waits_given_up")
+                self._log_once("place.given_up", task, wait, remaining_s)
+            return False
+        if since is None:
+            task.place_wait_since = self._now
+            owner.count("place_waits")
+        until = self._now + remaining_s
+        if places.waits.extend(task, until, self._now):
+            owner.placement_events.job_returns_at(task.job, until)
+        self._log_once("place.waited", task, wait, remaining_s)
+        return True
+
+    def _rack_use(self, task):
+        service, rack = task.job.record.service, task.spec.data_rack
+        key = (service, rack)
+        if key not in self._racks:
+            owner = self._owner
+            agents = [
+                agent
+                for agent in owner.places.agents_of(rack)
+                if workers.is_connected_and_usable(agent)
+                and agent.worker.service == service
+                and self._now >= agent.suspended_until
+            ]
+            drain_s = owner.places.drain_s(service) or self._terms_of(task).run_s
+            self._racks[key] = place_wait.measure_rack(
+                agents, drain_s, self._expected_run_s, self._now
+            )
+        return self._racks[key]
+
+    def _expected_run_s(self, agent, task):
+        owner = self._owner
+        run_s = owner.run_times.expected_run_s(task.job.record.queue, task.spec)
+        return run_s * owner.places.distance(agent, task.spec) * agent.slowdown
+
+    def _log_once(self, event, task, wait, remaining_s):
+        """Log a decision with its inputs in ms, the first of its kind for the job."""
+        job = task.job
+        if event in job.logged_place_events:
+            return
+        job.logged_place_events = (*job.logged_place_events, event)
+        log(
+            self._owner,
+            event,
+            job=job.id,
+            task=f"{task.step}.{task.index}",
+            rack=task.spec.data_rack,
+            near_start=_ms(wait.near_start_s),
+            near_run=_ms(wait.near_run_s),
+            far_end=_ms(wait.far_end_s),
+            latest_end=_ms(wait.latest_end_s),
+            waited=_ms(wait.waited_s),
+            remaining=_ms(remaining_s),
+        )
+
+
+def _ms(seconds):
+    return "never" if seconds == float("inf") else round(seconds * 1000)
+
+
+def create_offer(owner, agent_ids, is_recorded, now):
+    """Return an offer of these agents.
+
+    ``is_recorded(owner, shard, agent)`` returns whether the agent may get runs of the
+    shard.
+    """
+    return Offer(owner, agent_ids, is_recorded, now)
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -14,6 +14,7 @@
 from .estimates import create_run_times
 from .jobs import FailedRun, JobState, TaskStatus, encode_record
 from .placement_events import create_placement_events
+from .places import create_places
 from .waiting import create_waiting_jobs
 from .worker_runs import GRANT_S
 
@@ -89,6 +90,7 @@
         "agents",
         "waiting",
         "placement_events",
+        "places",
         "backlog",
         "run_times",
         "crash_history",
@@ -106,7 +108,7 @@
         "is_shutting_down",
     )
 
-    def __init__(self, times, rng, now):
+    def __init__(self, times, rng, now, far_factor):
         self.times = times
         self.rng = rng
         # Before this time, some workers may not have been reported yet.
@@ -115,6 +117,7 @@
         self.agents = {}
         self.waiting = create_waiting_jobs()
         self.placement_events = create_placement_events()
+        self.places = create_places(far_factor)
         self.backlog = admission.Backlog()
         self.run_times = create_run_times()
         self.crash_history = create_crash_history()
@@ -175,9 +178,12 @@
         self.counts[name] = self.counts.get(name, 0) + amount
 
 
-def create_owner(times=None, rng=None, now=0.0):
-    """Return an owner without shards, started at ``now``."""
-    return Owner(times or OwnerTimes(), rng or Random(0), now)
+def create_owner(times=None, rng=None, now=0.0, far_factor=1.0):
+    """Return an owner without shards, started at ``now``.
+
+    ``far_factor`` is the factor by which tasks run longer away from their data.
+    """
+    return Owner(times or OwnerTimes(), rng or Random(0), now, far_factor)
 
 
 def log(owner, event, **fields):
--- a/turmericknot/scheduling/pending.py
+++ b/turmericknot/scheduling/pending.py
@@ -36,6 +36,7 @@
 def dequeue_task(owner, task):
     """Remove a task from the waiting list."""
     owner.waiting.remove(task)
+    owner.places.waits.end(task)
     owner.backlog.add(task.backlog_level, -task.backlog_work)
     task.backlog_work = 0.0
 
--- a/turmericknot/scheduling/quarantine.py
+++ b/turmericknot/scheduling/quarantine.py
@@ -11,7 +11,7 @@
 import zlib
 from heapq import nsmallest
 
-from . import workers
+from . import placement
 
 # Workers avoided by other tasks while there are suspects: one of this many.
 WORKERS_PER_QUARANTINE = 16
@@ -51,7 +51,7 @@
     if waited_s < MAX_LIMITED_WAIT_S:
         count = min(count, math.ceil(MAX_SPREAD_SHARE * len(of_service)))
     for agent in nsmallest(count, of_service, key=rank_of):
-        if _is_isolated(agent) and workers.is_candidate(agent, task, now):
+        if _is_isolated(agent) and placement.is_candidate(agent, task, now):
             return agent
     return None
 
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -2,7 +2,7 @@
 
 from turmericknot.wire import shard_messages as wire
 
-from . import besteffort, crash_reports, workers
+from . import besteffort, crash_reports, placement, workers
 from .commands import SendMessage
 from .job_requests import acknowledge_cancel
 from .jobs import JobState, RunEnd, TaskStatus
@@ -81,6 +81,7 @@
     if view is not None:
         view.is_connected = False
         view.accepted_epochs.clear()
+        _reconsider_place_waits(owner, view)
         log(owner, "agent.disconnected", agent=agent_id, runs=len(view.tasks))
 
 
@@ -96,6 +97,8 @@
         view.failed_jobs.clear()
         view.suspended_until = 0.0
         view.is_probing = False
+    _reconsider_place_waits(owner, view)
+    owner.places.index_labels(view)
     owner.placement_events.capacity_freed(agent_id)
     log(
         owner,
@@ -106,6 +109,13 @@
     )
 
 
+def _reconsider_place_waits(owner, view):
+    """Offer tasks that wait for the worker's rack, which may be lost, to all agents."""
+    labels = owner.places.labels_of(view.id)
+    for job in owner.places.waits.jobs_waiting_for(labels):
+        owner.placement_events.job_waits(job)
+
+
 def grant_request_received(owner, agent_id, sequence, now):
     """Confirm the ownership of the shards to an agent."""
     view = owner.agents.get(agent_id)
@@ -242,9 +252,13 @@
     task.run = max(task.run, run)
     job.unfinished_tasks[task.step] -= 1
     if run_s > 0:
-        expected = owner.run_times.expected_run_s(job.record.queue, task.spec)
-        workers.observe_success(view, run_s / max(expected, 0.001))
-        owner.run_times.observe(job.record.queue, task.spec, run_s)
+        queue, places = job.record.queue, owner.places
+        near_run_s = run_s / places.distance(view, task.spec)
+        expected = owner.run_times.expected_run_s(queue, task.spec)
+        speed_factor = places.relative_slowdown(view)
+        places.observe_run(job.record.service, task.spec.cpu, run_s)
+        workers.observe_success(view, near_run_s / max(expected, 0.001))
+        owner.run_times.observe(queue, task.spec, near_run_s / speed_factor)
     if not job.unfinished_tasks[task.step]:
         enqueue_ready_steps(owner, job)
     finish_if_complete(owner, job, now)
@@ -337,7 +351,7 @@
 def _has_faster_worker(owner, task, view, now):
     """Return whether a considerably faster worker has capacity for the task."""
     others = [agent for agent in owner.agents.values() if agent is not view]
-    agent = workers.choose_agent(others, task, now)
+    agent = placement.choose_agent(others, task, now)
     return agent is not None and agent.slowdown < view.slowdown / MIN_MOVE_SPEEDUP
 
 
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -4,7 +4,7 @@
 
 from turmericknot.wire.shard_messages import RunName, RunStart, StartRuns
 
-from . import besteffort, confinement, crash_reports, quarantine, workers
+from . import besteffort, crash_reports, offers, placement, quarantine, workers
 from .commands import SendMessage, StoreRecord
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
@@ -44,6 +44,7 @@
     events = owner.placement_events
     if not owner.waiting:
         events.clear()
+        events.clear_job_returns()
         return
     starts = {}
     if events.is_full_pass_due(now):
@@ -69,28 +70,17 @@
     stands for all waiting jobs. ``starts`` collects the runs by agent and shard.
     """
     skipped = 0
-    usable_agents = None
-    candidates = {}  # shard number -> agents that may get its runs
-    cells = {}  # service -> ids of the agents that confined queues may use
-    avoided = {}  # service -> ids of the agents that other tasks should avoid
-    for job in owner.waiting.jobs():
+    offer = offers.create_offer(owner, agent_ids, _ensure_agent_recorded, now)
+    for job in offer.order_jobs(owner.waiting.jobs()):
         if skipped > MAX_SKIPPED_JOBS:
             break
         shard = owner.shards.get(job.shard)
         if shard is None or shard.is_closing:
             continue
+        waits_for_place = offer.examine_wait(job)
         if new_jobs is not None and new_jobs.pop(job.id, None) is None:
-            skipped += 1  # no agent had capacity for it
+            skipped += not waits_for_place  # no agent had capacity for it
             continue
-        if usable_agents is None:
-            views = [owner.agents[agent_id] for agent_id in agent_ids]
-            usable_agents = [view for view in views if workers.is_usable(view, now)]
-        if shard.number not in candidates:
-            candidates[shard.number] = [
-                agent
-                for agent in usable_agents
-                if _ensure_agent_recorded(owner, shard, agent)
-            ]
         started_tasks = []
         is_confined = job.record.queue in owner.confined_queues
         for task in list(owner.waiting.tasks(job)):
@@ -103,37 +93,19 @@
                     started_tasks.append(task)
                 continue
             task.suspect_since = None  # the crash has been withdrawn
-            service = job.record.service
-            if service not in cells:
-                cells[service], avoided[service] = _divide_agents(owner, service, now)
-            agents = candidates[shard.number]
-            if is_confined:
-                agents = [agent for agent in agents if agent.id in cells[service]]
-            agent = workers.choose_agent_from_sample(
-                agents, task, now, owner.rng, avoided[service]
-            )
+            agent = offer.choose_agent(shard, task, is_confined)
             if agent is None:
-                # A confined queue waits for its cell alone.
-                skipped += not is_confined
+                # A confined queue waits for its cell alone, others for their rack.
+                skipped += not (is_confined or waits_for_place)
                 break
+            if offer.pays_to_wait(task, agent):
+                continue
             _start_task(owner, shard, agent, task, now, starts)
             started_tasks.append(task)
         if started_tasks:
             _log_started_tasks(owner, job, started_tasks, now)
 
 
-def _divide_agents(owner, service, now):
-    """Return the agents that confined queues may use, and those to avoid, as ids."""
-    agents = owner.agents.values()
-    quarantined = quarantine.quarantine_agents(
-        agents, service, now, owner.crash_history.last_suspect_at
-    )
-    if not owner.confined_queues:
-        return frozenset(), quarantined
-    cell = confinement.cell_agents(agents, service)
-    return cell, cell | quarantined
-
-
 def _choose_agent_for_suspect(owner, shard, task, now):
     """Return the agent for a task that may have crashed a worker, or None."""
     if owner.crash_history.is_undecided(task.key, now):
@@ -156,7 +128,19 @@
 
 
 def _log_started_tasks(owner, job, tasks, now):
-    """Log the runs that a job gets in one pass; ``runs`` lists task:run@agent."""
+    """Log the runs that a job gets in one pass; ``runs`` lists task:run@agent.
+
+    ``near`` and ``far`` count those on and off the rack of their data.
+    """
+    fields = {}
+    with_data = [task for task in tasks if task.spec.data_rack]
+    if with_data:
+        far = sum(
+            placement.is_far(owner.agents[task.agent], task.spec) for task in with_data
+        )
+        fields = {"near": len(with_data) - far, "far": far}
+        for name, count in fields.items():
+            owner.count("started_" + name, count)
     log(
         owner,
         "tasks.started",
@@ -165,6 +149,7 @@
             f"{task.step}.{task.index}:{task.run}@{task.agent}" for task in tasks
         ),
         waited=round(now - job.submitted_at, 3),
+        **fields,
     )
 
 
@@ -203,6 +188,11 @@
     task.started_at = now
     job.possible_runs += 1
     spec = task.spec
+    run_s = owner.run_times.expected_run_s(job.record.queue, spec)
+    expected_s = run_s * owner.places.distance(agent, spec)
+    if spec.data_rack:
+        work = spec.cpu / 1000 * run_s
+        owner.places.record_demand(job.record.service, spec.data_rack, work, now)
     has_free_capacity = workers.has_capacity(agent, spec)
     workers.reserve_capacity(agent, task)
     run = RunStart(
@@ -218,7 +208,7 @@
         job.due_at
         - now
         + (LATE_JOB_DUE_OFFSET_S if owner.waiting.is_late(job) else 0.0),
-        owner.run_times.expected_run_s(job.record.queue, spec),
+        expected_s,
         QUEUE_TIMEOUT_S if has_free_capacity else FULL_WORKER_QUEUE_TIMEOUT_S,
         task.suspect_since is not None,
         job.record.queue,
@@ -326,6 +316,7 @@
         _drop_expired_jobs(owner, shard, now)
     _repeat_stops(owner, now)
     demote_late_jobs(owner, now)
+    owner.places.refresh(owner.agents.values(), now)
     flush_deferred_acknowledgements(owner, now)
     schedule_tasks(owner, now)
 
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -1,4 +1,4 @@
-"""The owner's view of agents and their workers, and the choice among them."""
+"""The owner's view of agents and their workers: state, capacity and statistics."""
 
 # Weight of the newest run in the moving average of the slowdown.
 NEWEST_RUN_WEIGHT = 0.15
@@ -128,73 +128,6 @@
     )
 
 
-def choose_agent_from_sample(agents, task, now, rng, quarantined=frozenset()):
-    """Return the agent for a task from a random sample, or from all if none fits.
-
-    With hundreds of workers, the best of two dozen is nearly as empty as the best of
-    all, and owners that choose at the same moment choose different workers.
-    """
-    if len(agents) > AGENT_SAMPLE_SIZE:
-        sample = rng.sample(agents, AGENT_SAMPLE_SIZE)
-        agent = choose_agent(sample, task, now, quarantined)
-        if agent is not None:
-            return agent
-    return choose_agent(agents, task, now, quarantined)
-
-
-def is_candidate(agent, task, now, overcommit=0.0):
-    """Return whether the agent may get a run of the task now."""
-    spec, worker = task.spec, agent.worker
-    if not is_usable(agent, now) or not has_capacity(agent, spec, overcommit):
-        return False
-    if worker.service != task.job.record.service:
-        return False
-    if spec.required_label and spec.required_label not in worker.labels:
-        return False
-    return not spec.max_per_worker or _is_below_limit(agent, task, spec.max_per_worker)
-
-
-def choose_agent(agents, task, now, quarantined=frozenset()):
-    """Return the agent for a task, or None if no worker has capacity.
-
-    For many short tasks on workers of unequal speed, the fastest class of workers comes
-    first, and the least used worker within it, so that the loss of one worker affects
-    few tasks of a job. At peak load, when all workers are full, the most urgent tasks
-    are queued at an agent, where they get the next free capacity before less urgent
-    tasks of any entry. Agents whose ids are in ``quarantined`` come last.
-    """
-    spec = task.spec
-    overcommit = URGENT_OVERCOMMIT_SHARE if task.job.record.priority == 0 else 0.0
-    best = best_score = None
-    for agent in agents:
-        if not is_candidate(agent, task, now, overcommit):
-            continue
-        worker = agent.worker
-        is_full = bool(overcommit) and not has_capacity(agent, spec)
-        usage = (agent.used_cpu + agent.foreign_cpu) / (worker.cpu or 1)
-        score = (
-            agent.id in quarantined,
-            is_full,
-            agent.id in task.avoided_agents,
-            bool(spec.data_rack) and spec.data_rack not in worker.labels,
-            0 if is_full else round(agent.slowdown / SLOWDOWN_STEP),
-            # At a full worker, the waiting time grows with the work that is queued.
-            usage * agent.slowdown if is_full else usage,
-        )
-        if best is None or score < best_score:
-            best, best_score = agent, score
-    return best
-
-
-def _is_below_limit(agent, task, limit):
-    same = sum(
-        1
-        for other in agent.tasks.values()
-        if other.job is task.job and other.step == task.step
-    )
-    return same < limit
-
-
 def reserve_capacity(agent, task):
     """Count the run of a task as use of the worker's capacity."""
     spec = task.spec
@@ -266,3 +199,12 @@
     agent.suspension_s = min(2 * agent.suspension_s, MAX_SUSPENSION_S)
     agent.is_probing = True
     return True
+
+
+def __getattr__(name):
+    """Return a function of ``placement`` that callers know under this module."""
+    if name not in ("choose_agent", "choose_agent_from_sample", "is_candidate"):
+        raise AttributeError(name)
+    from . import placement
+
+    return getattr(placement, name)
