--- a/tests/scheduling/test_place_wait.py
+++ b/tests/scheduling/test_place_wait.py
@@ -109,17 +109,15 @@
 
 def test_jobs_behind_one_that_waits_are_not_held_up(owner):
     """Guards against waiting jobs that use up the search for smaller ones."""
-    report_usage(owner, "far", CPU)
     for number in range(12):
         submit(owner, f"a{number}")
+    assert len(owner.waiting) == 12 and pop_started(owner)[0] == []
     step = StepSpec(1, cpu=1000, memory=1, estimate=0.1)
     record = create_job_record(steps=[step], priority=2)
     shard = next(iter(owner.shards.values()))
-    report_usage(owner, "far", 0, NOW + 0.001)
-    pop_started(owner)
     besteffort.run_job(owner, shard, "b", record, "b", NOW + 9, NOW + 0.002)
     runs.schedule_tasks(owner, NOW + 0.002)
-    assert "far" in pop_started(owner)[0]
+    assert pop_started(owner)[0] == ["far"]
 
 
 @pytest.mark.parametrize(
--- a/turmericknot/scheduling/placement.py
+++ b/turmericknot/scheduling/placement.py
@@ -13,9 +13,9 @@
 from .estimates import DEFAULT_RUN_S
 from .workers import SLOWDOWN_STEP
 
-# A full worker must promise an end sooner by more than this share of the run time: the
-# wait for its capacity is an estimate.
-FULL_WORKER_MARGIN = 0.25
+# A full worker must promise an end sooner by more than this many steps of
+# ``SLOWDOWN_STEP`` of the run time: the wait for its capacity is an estimate.
+FULL_WORKER_MARGIN_STEPS = 1
 # Workers whose slowdowns differ by less than this are alike for a job with slack.
 SPEED_CLASS_STEP = 0.5
 # Slower workers are out of order rather than slow, and are the last choice of all jobs:
@@ -125,21 +125,31 @@
     when all workers are full, the most urgent tasks are queued at an agent, where they
     get the next free capacity before less urgent tasks of any entry. Agents whose ids
     are in ``quarantined`` come last, after those where the task has failed before.
+    Ends are compared in steps of ``SLOWDOWN_STEP`` of the run time: less is noise.
     """
     terms = terms or create_default_terms(task)
     spec = task.spec
     overcommit = workers.URGENT_OVERCOMMIT_SHARE if _is_urgent(task) else 0.0
     # Near or slow, the data decides; and urgent jobs have no slack to give away.
     has_slack = not spec.data_rack and (terms.is_late or not _is_urgent(task))
+    drain = terms.due_run_s / terms.run_s
     best = best_score = None
     for agent in agents:
         if not is_candidate(agent, task, now, overcommit):
             continue
         worker = agent.worker
-        is_full = bool(overcommit) and not workers.has_capacity(agent, spec)
-        usage = (agent.used_cpu + agent.foreign_cpu) / (worker.cpu or 1)
+        cpu = worker.cpu or 1
+        used = agent.used_cpu + agent.foreign_cpu
+        is_full = used + spec.cpu > cpu
         is_away = bool(spec.data_rack) and spec.data_rack not in worker.labels
-        end = _expected_end(agent, spec, terms, is_full, is_away)
+        steps = agent.slowdown / SLOWDOWN_STEP
+        distance = terms.far_factor if is_away else 1.0
+        if is_full:
+            # The wait, as in expected_wait_s, and the run.
+            wait = (used + spec.cpu - cpu) / cpu * drain
+            end = round(steps * (wait + distance) + FULL_WORKER_MARGIN_STEPS)
+        else:
+            end = round(steps) * distance
         score = (
             agent.id in quarantined,
             agent.id in task.avoided_agents,
@@ -149,7 +159,7 @@
             is_away,
             _demand_level(worker, spec, terms.demand) if terms.demand else 0,
             # At a full worker, the waiting time grows with the work that is queued.
-            usage * agent.slowdown if is_full else usage,
+            used / cpu * agent.slowdown if is_full else used / cpu,
         )
         if best is None or score < best_score:
             best, best_score = agent, score
@@ -160,19 +170,6 @@
     return task.job.record.priority == 0
 
 
-def _expected_end(agent, spec, terms, is_full, is_away):
-    """Return the steps until the expected end of a run that is sent now.
-
-    A step is ``SLOWDOWN_STEP`` of the run time: smaller differences are noise.
-    """
-    distance = terms.far_factor if is_away else 1.0
-    if not is_full:
-        return round(agent.slowdown / SLOWDOWN_STEP) * distance
-    run = agent.slowdown * distance
-    wait = expected_wait_s(agent, spec, terms.due_run_s) / terms.run_s
-    return round((wait + run + FULL_WORKER_MARGIN) / SLOWDOWN_STEP)
-
-
 def expected_wait_s(agent, spec, drain_s):
     """Return the seconds until the worker should have capacity for a queued run.
 
