Wait for a near place that keeps the due time, and describe placement

Run times are divided by the distance alone; those of jobs with slack on slow workers are left out. A task also waits for a near place that keeps its due time, because a far run takes more capacity, and is no longer sent far just before a far run would miss the due time: the longest tasks of a job miss it there.

--- a/turmericknot/scheduling/place_wait.py
+++ b/turmericknot/scheduling/place_wait.py
@@ -2,8 +2,8 @@
 
 Load pattern: an urgent queue of which most wants one rack, while work without data
 fills that rack as well. Far from its data, a task takes ``far_factor`` times as long.
-It waits as long as a near place, when it comes, still means a sooner end than a run on
-the far worker at hand, and no longer than a far run can keep the due time.
+It waits as long as a near place is expected to end it sooner than the far worker at
+hand, or still before the due time: then it takes less capacity from others.
 
 The wait is bounded by the gain: (``far_factor`` - 1) times the run time. Tasks that
 wait count for those behind them, so only as many wait as places come in that time.
@@ -175,18 +175,11 @@
 
 
 def remaining_wait_s(terms):
-    """Return for how many more seconds at most it pays to wait; 0 to run far now.
-
-    A far run that keeps the due time is not given up for a wait that may miss it.
-    """
-    if terms.near_start_s == math.inf:
-        return 0.0
-    bound_s = terms.far_end_s - terms.near_run_s - terms.waited_s
-    slack_s = terms.latest_end_s - terms.far_end_s
-    if slack_s >= 0:
-        bound_s = min(bound_s, slack_s)
-    is_sooner = terms.near_start_s + terms.near_run_s < terms.far_end_s
-    if not is_sooner or terms.near_start_s > bound_s:
-        bound_s = 0.0
+    """Return for how many more seconds at most it pays to wait; 0 to run far now."""
+    gain_s = terms.far_end_s - terms.near_run_s - terms.waited_s
+    near_end_s = terms.near_start_s + terms.near_run_s
+    bound_s = 0.0
+    if near_end_s < max(terms.far_end_s, terms.latest_end_s):
+        bound_s = gain_s
     bound_s = max(bound_s, MIN_WAIT_S - terms.waited_s)
     return max(0.0, min(bound_s, MAX_WAIT_S - terms.waited_s))
--- a/turmericknot/scheduling/placement.py
+++ b/turmericknot/scheduling/placement.py
@@ -206,6 +206,15 @@
     return -round(agent.slowdown / SPEED_CLASS_STEP)
 
 
+def may_choose_slow(task, agent, run_s):
+    """Return whether a task that has run on the worker had slack to choose a slow one.
+
+    ``run_s`` is its expected run time on a worker of normal speed.
+    """
+    needed_s = SLACK_MARGIN * run_s * agent.slowdown
+    return not _is_urgent(task) and task.started_at + needed_s <= task.job.due_at
+
+
 def _demand_level(worker, spec, demand):
     """Return how much tasks with data on the worker's rack need it.
 
--- a/turmericknot/scheduling/places.py
+++ b/turmericknot/scheduling/places.py
@@ -3,13 +3,14 @@
 import math
 
 from .place_wait import PlaceWaits
-from .placement import DEMAND_LEVELS
-from .workers import SLOWDOWN_STEP
+from .placement import DEMAND_LEVELS, SPEED_CLASS_STEP
 
 # Time constant of the decaying demand: several times a run, less than a wave of load.
 DEMAND_DECAY_S = 2.0
+# A worker this many times as slow as the mean is slow: half a class of speeds.
+MIN_SLOW_RATIO = 1 + SPEED_CLASS_STEP / 2
 LEVELS_AGE_S = 0.2  # how long levels of the demand are used
-REFRESH_INTERVAL_S = 1.0  # of the figures of the whole fleet
+REFRESH_INTERVAL_S = 1.0  # of what depends on all agents
 NEWEST_RUN_WEIGHT = 0.02  # in the mean run time of a service
 
 
@@ -20,7 +21,7 @@
         "far_factor",
         "waits",
         "own_share",
-        "mean_slowdown",
+        "_mean_slowdown",
         "_agents_by_label",
         "_labels_by_agent",
         "_drain_s",
@@ -33,7 +34,7 @@
         self.far_factor = far_factor  # 1.0: no distance is known
         self.waits = PlaceWaits()
         self.own_share = 1.0  # of all runs, those of this owner
-        self.mean_slowdown = 1.0
+        self._mean_slowdown = 1.0
         self._agents_by_label = {}  # label -> {agent id: AgentView}
         self._labels_by_agent = {}
         self._drain_s = {}  # service -> mean run time in seconds, weighted by cpu
@@ -67,10 +68,13 @@
             return 1.0
         return 1.0 if spec.data_rack in view.worker.labels else self.far_factor
 
-    def relative_slowdown(self, view):
-        """Return the slowdown of a worker relative to the mean, without noise."""
-        steps = round(view.slowdown / self.mean_slowdown / SLOWDOWN_STEP)
-        return max(steps, 1) * SLOWDOWN_STEP
+    def is_slow(self, view):
+        """Return whether the worker is clearly slower than the mean.
+
+        Jobs with slack are sent there on purpose. Their run times there would make
+        their queue look slow, and then these workers like all others.
+        """
+        return view.slowdown > MIN_SLOW_RATIO * self._mean_slowdown
 
     def drain_s(self, service):
         """Return the mean run time of the service in seconds; 0 if unknown."""
@@ -129,21 +133,20 @@
         }
 
     def refresh(self, agents, now):
-        """Update the figures of the whole fleet, once a second."""
+        """Update what depends on all agents, once a second."""
         if now < self._next_refresh_at:
             return
         self._next_refresh_at = now + REFRESH_INTERVAL_S
         own = total = slowdown = count = 0
         for view in agents:
-            if view.is_connected and view.worker is not None:
+            if view.is_connected:
                 own += view.used_cpu
                 total += view.used_cpu + view.foreign_cpu
                 slowdown += view.slowdown
                 count += 1
+        self._mean_slowdown = slowdown / count if count else 1.0
         if total:
             self.own_share = own / total
-        if count:
-            self.mean_slowdown = slowdown / count
 
 
 def create_places(far_factor=1.0):
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -255,10 +255,11 @@
         queue, places = job.record.queue, owner.places
         near_run_s = run_s / places.distance(view, task.spec)
         expected = owner.run_times.expected_run_s(queue, task.spec)
-        speed_factor = places.relative_slowdown(view)
         places.observe_run(job.record.service, task.spec.cpu, run_s)
         workers.observe_success(view, near_run_s / max(expected, 0.001))
-        owner.run_times.observe(queue, task.spec, near_run_s / speed_factor)
+        has_chosen = placement.may_choose_slow(task, view, expected)
+        if not (has_chosen and places.is_slow(view)):
+            owner.run_times.observe(queue, task.spec, near_run_s)
     if not job.unfinished_tasks[task.step]:
         enqueue_ready_steps(owner, job)
     finish_if_complete(owner, job, now)
