--- a/tests/node/test_entry.py
+++ b/tests/node/test_entry.py
@@ -14,7 +14,7 @@
         settings = SimpleNamespace(
             node="n",
             link_address="127.0.0.1:1",
-            bounds=SimpleNamespace(keep_s=1.0),
+            bounds=SimpleNamespace(keep_s=1.0, far_factor=1.0),
             store=SimpleNamespace(address="127.0.0.1:1", partitions=1),
         )
         node = EntryNode(settings)
--- a/turmericknot/model/worker.py
+++ b/turmericknot/model/worker.py
@@ -26,13 +26,15 @@
         "_clock",
         "_life_id",
         "_cpu",
+        "labels",
         "_running",
         "_ends",
         "_last_number",
         "_on_end",
     )
 
-    def __init__(self, clock, life_id, cpu, speed, on_end):
+    def __init__(self, clock, life_id, cpu, speed, on_end, labels):
+        self.labels = labels
         self.slowdown = 1 / speed
         self.failed_share = 0.0
         self.fails_at_once = False  # failed runs end as soon as they start
@@ -58,7 +60,7 @@
             self._cpu,
             MEMORY_MB,
             0,
-            [],
+            self.labels,
             now,
             now,
             1,
@@ -113,6 +115,6 @@
         )
 
 
-def create_worker(clock, life_id, cpu, speed, on_end):
+def create_worker(clock, life_id, cpu, speed, on_end, labels):
     """Return a worker without runs; ``on_end()`` is called when a run has ended."""
-    return ModelWorker(clock, life_id, cpu, speed, on_end)
+    return ModelWorker(clock, life_id, cpu, speed, on_end, labels)
--- a/turmericknot/scheduling/leaving_moves.py
+++ b/turmericknot/scheduling/leaving_moves.py
@@ -11,7 +11,7 @@
 
 from turmericknot.wire.shard_messages import RunName
 
-from . import workers
+from . import placement, workers
 from .jobs import JobState, TaskStatus
 from .moves import MOVE_OVERHEAD_S, move_run
 
@@ -204,7 +204,7 @@
             continue
         if best is not None and cpu <= free[best.id][0]:
             continue
-        if workers.is_candidate(agent, task, now):
+        if placement.is_candidate(agent, task, now):
             best = agent
     return best
 
--- a/turmericknot/scheduling/pending.py
+++ b/turmericknot/scheduling/pending.py
@@ -84,6 +84,7 @@
 def dequeue_task(owner, task):
     """Remove a task from the waiting list."""
     owner.waiting.remove(task)
+    owner.places.waits.end(task)
     owner.backlog.add(task.backlog_level, -task.backlog_work)
     task.backlog_work = 0.0
 
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -7,6 +7,7 @@
     crash_reports,
     evacuation,
     leaving_moves,
+    placement,
     worker_standing,
     workers,
 )
@@ -94,6 +95,7 @@
     if view is not None:
         view.is_connected = False
         view.accepted_epochs.clear()
+        _reconsider_place_waits(owner, view)
         log(owner, "agent.disconnected", agent=agent_id, runs=len(view.tasks))
 
 
@@ -108,6 +110,8 @@
     is_new_life = worker is None or previous is None or previous.life != worker.life
     if is_new_life:
         worker_standing.life_changed(view)
+    _reconsider_place_waits(owner, view)
+    owner.places.index_labels(view)
     owner.placement_events.capacity_freed(agent_id)
     log(
         owner,
@@ -118,6 +122,13 @@
     )
 
 
+def _reconsider_place_waits(owner, view):
+    """Offer tasks that wait for the worker's rack, which may be lost, to all agents."""
+    labels = owner.places.labels_of(view.id)
+    for job in owner.places.waits.jobs_waiting_for(labels):
+        owner.placement_events.job_waits(job)
+
+
 def grant_request_received(owner, agent_id, sequence, now):
     """Confirm the ownership of the shards to an agent."""
     view = owner.agents.get(agent_id)
@@ -254,9 +265,14 @@
     task.run = max(task.run, run)
     job.unfinished_tasks[task.step] -= 1
     if run_s > 0:
-        expected = owner.run_times.expected_run_s(job.record.queue, task.spec)
-        worker_standing.observe_success(view, run_s / max(expected, 0.001))
-        owner.run_times.observe(job.record.queue, task.spec, run_s)
+        queue, places = job.record.queue, owner.places
+        near_run_s = run_s / places.distance(view, task.spec)
+        expected = owner.run_times.expected_run_s(queue, task.spec)
+        places.observe_run(job.record.service, task.spec.cpu, run_s)
+        worker_standing.observe_success(view, near_run_s / max(expected, 0.001))
+        has_chosen = placement.may_choose_slow(task, view, expected)
+        if not (has_chosen and places.is_slow(view)):
+            owner.run_times.observe(queue, task.spec, near_run_s)
     if not job.unfinished_tasks[task.step]:
         enqueue_ready_steps(owner, job)
     finish_if_complete(owner, job, now)
@@ -346,7 +362,7 @@
 def _has_faster_worker(owner, task, view, now):
     """Return whether a considerably faster worker has capacity for the task."""
     others = [agent for agent in owner.agents.values() if agent is not view]
-    agent = workers.choose_agent(others, task, now)
+    agent = placement.choose_agent(others, task, now)
     return agent is not None and agent.slowdown < view.slowdown / MIN_MOVE_SPEEDUP
 
 
