Let an owner with earlier runs probe, and judge stuck runs by full lists

A run from before the suspension kept an owner from probing the worker. Runs further down a late list were stopped with a stuck one although they had progressed. A state that a later build adds is treated as sound.

--- a/tests/scheduling/test_worker_health.py
+++ b/tests/scheduling/test_worker_health.py
@@ -270,6 +270,21 @@
         assert standing.state_of(view, site.now) is HealthState.FAILING
 
 
+def test_earlier_runs_do_not_keep_an_owner_from_probing(create_peak):
+    """A site of one entry with long tasks would never learn that a worker is sound."""
+    site, _ = create_peak(entries=1, agents=1)
+    (entry,), (agent,) = site.entries.values(), site.agents.values()
+    agent.run_s = 5.0
+    record = create_job_record(tasks=1, objective=20.0, estimate=5.0)
+    for job in ("1" * 16, "2" * 16):
+        entry.submit_best_effort("w", site.now, job, record, 20.0)
+        site.advance(0.2)
+        if job[0] == "1":
+            worker_health.run_stuck(agent.state, site.now)
+    site.advance(1.2)
+    assert len(agent.worker.running) == 2
+
+
 def test_new_entry_takes_the_word_of_the_agent(create_peak):
     """A restarted entry would lose four runs before it knows; so would a new link."""
     site, play = create_peak(entries=2, agents=3)
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -6,7 +6,7 @@
 from .jobs import RunEnd
 from .worker_crashes import worker_answered
 from .worker_leases import check_grants, lease_deadline_ms, mark_synced
-from .worker_pace import check_progress
+from .worker_pace import check_progress, stop_companions
 from .worker_runs import FENCE_STEP_MS, inherited_shard, log, report_end, stop_run
 from .worker_starts import start_confirmed, start_queued_runs, start_refused
 from .worker_types import LeaseRenewal, Run
@@ -74,6 +74,7 @@
         state.runs[row.name].is_listed = True
         _repeat_inherited_stop(state, state.runs[row.name], now)
         check_progress(state, state.runs[row.name], row.percent, now)
+    stop_companions(state, now)
     for row in result.ended:
         _record_end(state, row, now)
     for name, run in list(state.runs.items()):
--- a/turmericknot/scheduling/worker_pace.py
+++ b/turmericknot/scheduling/worker_pace.py
@@ -39,7 +39,6 @@
         _stop_stuck_run(state, run, now)
         if state.health is not None:
             worker_health.run_stuck(state, now)
-            _stop_companions(state, now)
 
 
 def _stuck_timeout_s(state, run):
@@ -60,11 +59,16 @@
     stop_run(state, run, now)
 
 
-def _stop_companions(state, now):
-    """Stop the other runs that have made no progress for a while.
+def stop_companions(state, now):
+    """Stop other runs without progress if one has just been found stuck.
 
     Where one run hangs, the worker is likely to blame, and the others hang as well.
+    Must be called when the progress of all runs has been read.
     """
+    if state.health is None or not any(
+        run.is_stuck and run.stop_sent_at == now for run in state.runs.values()
+    ):
+        return
     for run in state.runs.values():
         percent_s = run.expected * SLOWEST_WORKER_FACTOR / 100
         if (
--- a/turmericknot/scheduling/worker_standing.py
+++ b/turmericknot/scheduling/worker_standing.py
@@ -62,8 +62,14 @@
         return False
     view.health = health
     view.slowdown = health.slowdown
-    view.suspended_until = now + health.usable_in_s if health.usable_in_s else 0.0
-    view.is_probing = health.state >= HealthState.FAILING
+    view.is_probing = health.state in (HealthState.FAILING, HealthState.PROBING)
+    if health.usable_in_s:
+        view.suspended_until = now + health.usable_in_s
+    elif view.is_probing:
+        # Runs that began before are no probes.
+        view.suspended_until = min(view.suspended_until, now) or now
+    else:
+        view.suspended_until = 0.0
     return True
 
 
@@ -84,8 +90,8 @@
         return HealthState.FAILING
     if view.is_probing:
         return HealthState.PROBING
-    if view.health is not None:
-        return HealthState(view.health.state)
+    if view.health is not None and view.health.state == HealthState.SLOW:
+        return HealthState.SLOW
     return HealthState.SOUND
 
 
