--- a/tests/scheduling/test_place_wait.py
+++ b/tests/scheduling/test_place_wait.py
@@ -120,6 +120,35 @@
     assert pop_started(owner)[0] == ["far"]
 
 
+def test_freed_place_goes_to_a_task_with_data_there(owner):
+    """Guards against a near place for a task that would run as fast elsewhere."""
+    submit(owner, now=NOW)
+    report_usage(owner, "far", CPU, NOW + 0.01)
+    step = StepSpec(1, cpu=1000, memory=1, estimate=0.01)
+    record = create_job_record(steps=[step], priority=1)
+    shard = next(iter(owner.shards.values()))
+    besteffort._start_job(owner, shard, "b", record, "b", NOW + 9, NOW + 0.01)
+    assert [job.id for job in owner.waiting.jobs()] == ["b", "a"]
+    runs.schedule_tasks(owner, NOW + 0.01)
+    pop_started(owner)
+    report_usage(owner, "near", CPU - 1000, NOW + 0.02)
+    assert [task.job.id for task in owner.agents["near"].tasks.values()] == ["a"]
+
+
+def test_sample_of_a_large_fleet_contains_the_rack_of_the_data(owner):
+    """Guards against a free place near the data that a sample of all workers lacks."""
+    shard = next(iter(owner.shards.values()))
+    worker = owner.agents["far"].worker
+    for number in range(400):
+        hello = wire.AgentHello(1, f"far-{number}", "b", "d", worker)
+        reports.agent_connected(owner, hello, NOW)
+        reports.grant_request_received(owner, hello.agent, 1, NOW)
+        reports.inventory_reported(owner, hello.agent, shard.number, 1, [], NOW)
+    report_usage(owner, "near", 0)
+    submit(owner, tasks=8)
+    assert pop_started(owner)[0] == ["near"] * 8
+
+
 @pytest.mark.parametrize(
     ("near_start", "latest_end", "waited", "expected"),
     [
