--- a/turmericknot/model/description.py
+++ b/turmericknot/model/description.py
@@ -22,6 +22,8 @@
     objective_s: float = 0.06
     attempts: int = 4
     wait_s: float = 10.0  # how long its callers wait
+    has_data: bool = False  # whether its tasks have data on a rack
+    hot_share: float = 0.0  # of its jobs, those with data on the hot rack
 
 
 class Wave(msgspec.Struct, forbid_unknown_fields=True):
@@ -34,11 +36,12 @@
 class Trouble(msgspec.Struct, forbid_unknown_fields=True):
     """Something that happens to a share of the workers or entries.
 
-    ``slow``: tasks of these workers take ``factor`` times as long. ``failing``: each of
-    their runs fails. ``lost_answers``: this share of all start calls gets no answer.
-    ``entry_loss``: these entries lose their state and are away. ``deadly``: this share
-    of the jobs of ``job_kind`` has a task that crashes each worker that starts it; the
-    next process of the worker reports ``down_s`` later.
+    ``slow``: tasks of these workers take ``factor`` times as long. ``failing``: of
+    their runs, ``failed_share`` fail, as soon as they start if ``fails_at_once``.
+    ``lost_answers``: this share of all start calls gets no answer. ``entry_loss``:
+    these entries lose their state and are away. ``deadly``: this share of the jobs of
+    ``job_kind`` has a task that crashes each worker that starts it; the next process of
+    the worker reports ``down_s`` later.
     """
 
     kind: str
@@ -48,16 +51,20 @@
     factor: float = 4.0
     job_kind: str = ""  # empty: jobs of every kind
     down_s: float = 3.0
+    failed_share: float = 1.0
+    fails_at_once: bool = False
 
 
 class Variant(msgspec.Struct, forbid_unknown_fields=True):
     """A policy to compare: constants of ``turmericknot.scheduling`` to replace.
 
-    A name has the form ``module.CONSTANT``.
+    A name has the form ``module.CONSTANT``. ``worker_health``: the agents judge their
+    workers for all entries.
     """
 
     name: str
     constants: dict[str, float] = {}
+    worker_health: bool = False
 
 
 class Experiment(msgspec.Struct, forbid_unknown_fields=True):
@@ -69,6 +76,10 @@
     kinds: list[Kind]
     duration_s: float = 30.0
     worker_speeds: tuple[float, ...] = (1.0,)  # assigned in turn
+    racks: int = 0  # to which the workers belong in turn
+    far_factor: float = 1.0  # how much longer tasks run away from their data
+    hot_racks: int = 1  # racks that are the hot one in turn
+    hot_period_s: float = 10.0  # how long a rack is the hot one
     link_delay_s: float = 0.001
     call_delay_s: float = 0.001  # of a call to a worker, one way
     wave: Wave = msgspec.field(default_factory=Wave)
@@ -97,11 +108,17 @@
     return experiment
 
 
+def _has_data(experiment):
+    return any(kind.has_data for kind in experiment.kinds)
+
+
 def _find_problems(experiment):
     for name in ("entries", "agents", "worker_cpu", "duration_s"):
         value = getattr(experiment, name)
         if value <= 0:
             yield f"{name}: found {value}; allowed: above 0"
+    if experiment.racks < (experiment.hot_racks if _has_data(experiment) else 0):
+        yield f"racks: found {experiment.racks}; allowed: hot_racks or more"
     if not experiment.kinds:
         yield "kinds: found none; allowed: one or more"
     for number, kind in enumerate(experiment.kinds):
--- a/turmericknot/scheduling/worker_health.py
+++ b/turmericknot/scheduling/worker_health.py
@@ -8,9 +8,10 @@
 Jobs that can never be done are up to 5% of a queue for some seconds, and fail on sound
 workers, too. The evidence is the logarithm of the likelihood of a failed share of one
 half against one of 5%, with base 10: a failure adds 1, a success takes off 0.28. At
-2.7, five hundred to one, the worker is suspended: after three failures in a row, or
-about ten runs of which half fail. At a failed share of 0.2%, that happens once in tens
-of millions of runs.
+2.9, eight hundred to one, the worker is suspended: after three failures in a row, or
+about nine runs of which half fail. At a failed share of 0.2%, that happens once in
+about a hundred million runs. Two failures would do for that share alone, but with
+hopeless jobs they would suspend a tenth of the sound workers.
 
 Each job counts once. A task that has failed elsewhere before does not count, and for
 some seconds after such a task has failed here as well, failures of its queue count
@@ -27,7 +28,7 @@
 from .worker_types import AgentLogLine
 
 SHARE_OF_SUCCESS = 0.28  # evidence that one success takes off
-EVIDENCE_TO_SUSPEND = 2.7
+EVIDENCE_TO_SUSPEND = 2.9
 HOPELESS_QUEUE_WEIGHT = 0.5
 HOPELESS_QUEUE_MEMORY_S = 3.0
 MAX_REMEMBERED_JOBS = 16  # whose failures count no second time
@@ -182,9 +183,10 @@
         if self._evidence >= EVIDENCE_TO_SUSPEND:
             self.suspend(reason, now)
 
-    def observe_run(self, queue, ratio, now):
-        """Update the speed with the ratio of run time to expected run time."""
-        self.speed.observe_run(queue, ratio, now)
+    def observe_run(self, run, run_s, now):
+        """Update the speed with a run that took ``run_s``."""
+        ratio = run_s / run.expected
+        self.speed.observe_run(run.queue, ratio, run.confirmed_at, now)
         self._adopt_speed()
 
     def observe_pace(self, pace, now):
@@ -236,7 +238,7 @@
     if how is RunEnd.DONE:
         health.count_success(run, now)
         if run_s > 0 and run.expected > 0:
-            health.observe_run(run.queue, run_s / run.expected, now)
+            health.observe_run(run, run_s, now)
     elif how is RunEnd.FAILED:
         health.count_failure(run, "failed", now)
     _log_change(state, health, before)
