Admit jobs by the demand of all entries, and keep floors of queues

Each entry admitted jobs by its own backlog over all capacity that others did not use at that moment. At the crest of a wave the entries accepted together what they could not serve, and refused it when it was too late; the queue of the lowest priority got nothing for the length of an urgent wave.

Entries report a digest of their demand with every probe to the owner of the first shard, which answers with the sum over all others. With a recent sum of four entries or more, a job is admitted by its expected wait at all entries, and each queue keeps a share of the capacity while it is short. The durable jobs of this site have one shard, so the entries have no other links to each other.

With the sums withheld, 10 of the tests of both parts fail; with floors off, that of the urgent wave.

Tests run: tests/scheduling, model, platform, wire, node and test_docs pass.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -17,6 +17,8 @@
     workers,
 )
 from turmericknot.scheduling.commands import Outcome
+from turmericknot.scheduling.demand import MIN_ENTRIES
+from turmericknot.scheduling.floors import FLOOR_SHARE
 from turmericknot.scheduling.jobs import RunEnd
 from turmericknot.scheduling.queues import Queue
 from turmericknot.wire.shard_messages import RunName
@@ -209,14 +211,23 @@
     """Fields added by a newer platform must not keep a process from starting."""
     loaded = node_settings.decode_settings("entry", SETTINGS)
     assert loaded.link_address == "10.0.0.1:7720"
+    assert loaded.options.fleet_demand_min_entries == MIN_ENTRIES
+    assert loaded.options.floor_share == FLOOR_SHARE
 
 
 def test_all_settings_problems_are_reported_together():
     """An operator must not find the second problem only after fixing the first."""
     invalid = {**SETTINGS, "link_port": "x", "store": {"address": 5}}
+    invalid["options"] = {"floor_share": 0.9}
     del invalid["jobs_address"]
     with pytest.raises(SettingsError) as caught:
         node_settings.decode_settings("entry", invalid)
     problems = " ".join(caught.value.problems)
-    for name in ("link_port", "store.address", "store.partitions", "jobs_address"):
+    for name in (
+        "link_port",
+        "store.address",
+        "store.partitions",
+        "jobs_address",
+        "options.floor_share",
+    ):
         assert name in problems
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -17,6 +17,7 @@
 from turmericknot.platform.store import create_store
 from turmericknot.scheduling import (
     besteffort,
+    demand,
     job_requests,
     owner as decisions,
     reports,
@@ -138,6 +139,9 @@
             finished_job_retention_s=settings.bounds.keep_s + STATE_RETENTION_MARGIN_S
         )
         self.owner = create_owner(times, random.Random(boot_id), steady_time())
+        options = settings.options
+        self.owner.demand.min_entries = options.fleet_demand_min_entries
+        self.owner.floors.floor_share = options.floor_share
         self.store = create_store(settings.store.address, settings.store.partitions)
         callbacks = LinkCallbacks(
             self._on_opened,
@@ -224,6 +228,7 @@
             reports.agent_connected(self.owner, first_message, steady_time())
             self.execute_commands()
         elif isinstance(first_message, wire.PeerGreeting):
+            self.peers.on_greeted(stream, first_message.name)
             self.links.send(stream, wire.PeerGreeted(self.member))
             self.links.flush()
         else:
@@ -258,8 +263,7 @@
             case wire.PeerProbe():
                 shards = decisions.granted_shards(owner, now)
                 pending = decisions.pending_by_queue(owner)
-                status = wire.PeerStatus(message.sequence, shards, pending)
-                self.links.send(stream, status)
+                self.peers.answer_probe(stream, message, shards, pending)
             case wire.SubmitRequest():
                 waiter = RemoteWaiter(stream, message.request)
                 record = decode_record(message.record)
@@ -440,6 +444,7 @@
             "agents_usable": len(usable_agents),
             "configuration_version": version,
             "store_reachable": int(self.membership.is_joined),
+            **demand.read_gauges(owner, now),
         }
         return owner.counts, gauges
 
--- a/turmericknot/node/peers.py
+++ b/turmericknot/node/peers.py
@@ -1,7 +1,8 @@
 """Links to the other entries that own shards, and the status that they report."""
 
+from turmericknot.scheduling import demand
 from turmericknot.wire.messages import PROTOCOL_VERSION
-from turmericknot.wire.shard_messages import PeerGreeting, PeerProbe
+from turmericknot.wire.shard_messages import PeerGreeting, PeerProbe, PeerStatus
 
 from .clock import steady_time
 
@@ -10,6 +11,8 @@
 PEER_TIMEOUT_S = 1.3
 # Maximum age of a peer's count of waiting jobs in an answer; the platform allows 2 s.
 STATUS_MAX_AGE_S = 1.9
+# The owner of this shard collects the demand of all entries.
+DEMAND_SHARD = 0
 
 
 class Peer:
@@ -27,12 +30,19 @@
 class PeerLinks:
     """The peers of an entry by member name, which contains the link address."""
 
-    __slots__ = ("_node", "_peers", "_member_by_stream", "_probe_sequence")
+    __slots__ = (
+        "_node",
+        "_peers",
+        "_member_by_stream",
+        "_name_by_stream",
+        "_probe_sequence",
+    )
 
     def __init__(self, node):
         self._node = node
         self._peers = {}
         self._member_by_stream = {}
+        self._name_by_stream = {}  # streams that other entries have opened
         self._probe_sequence = 0
 
     def find_stream(self, member):
@@ -62,8 +72,13 @@
             peer.opened_at = peer.answered_at = steady_time()
             self._member_by_stream[stream] = member
 
+    def on_greeted(self, stream, name):
+        """Record that the entry of that member name has opened a stream."""
+        self._name_by_stream[stream] = name
+
     def on_closed(self, stream):
         """Record that a stream has closed and fail the requests sent on it."""
+        self._name_by_stream.pop(stream, None)
         member = self._member_by_stream.pop(stream, None)
         peer = self._peers.get(member)
         if peer is not None and peer.stream == stream:
@@ -74,8 +89,25 @@
         """Record the PeerStatus that a peer has sent."""
         peer = self._peers.get(self._member_by_stream.get(stream))
         if peer is not None:
-            peer.answered_at = steady_time()
+            peer.answered_at = now = steady_time()
             peer.pending = status.pending
+            self._node.owner.demand.record_status(status.demand, now)
+
+    def answer_probe(self, stream, probe, shards, pending):
+        """Answer a PeerProbe of another entry.
+
+        The owner of the first shard, which all entries probe, sums up their demand.
+        """
+        now = steady_time()
+        owner = self._node.owner
+        fleet_digest = None
+        if DEMAND_SHARD in owner.shards:
+            member = self._name_by_stream.get(stream, "")
+            owner.demand.record_report(member, probe.demand, now)
+            own_digest = demand.own_digest(owner, now)
+            fleet_digest = owner.demand.sum_for(member, own_digest, now)
+        status = PeerStatus(probe.sequence, shards, pending, fleet_digest)
+        self._node.links.send(stream, status)
 
     def count_pending(self, queue):
         """Return the number of jobs of a queue that wait at the peers.
@@ -92,6 +124,7 @@
     def probe_all(self):
         """Send a probe to every peer; drop the links of peers that do not answer."""
         now = steady_time()
+        own_digest = demand.own_digest(self._node.owner, now)
         self._probe_sequence += 1
         for member, peer in self._peers.items():
             if peer.stream is None:
@@ -101,7 +134,8 @@
                 stream, peer.stream = peer.stream, None
                 self._node.links.abort(stream, "silent")
                 continue
-            self._node.links.send(peer.stream, PeerProbe(self._probe_sequence))
+            probe = PeerProbe(self._probe_sequence, own_digest)
+            self._node.links.send(peer.stream, probe)
         self._node.links.flush()
 
 
--- a/turmericknot/platform/settings.py
+++ b/turmericknot/platform/settings.py
@@ -6,6 +6,7 @@
 
 import os
 import tomllib
+from typing import Annotated
 
 import msgspec
 
@@ -36,6 +37,17 @@
     far_factor: float = 1.0
 
 
+class OptionSettings(msgspec.Struct):
+    """Decisions that can be turned off; the table is optional.
+
+    ``fleet_demand_min_entries``: with fewer entries, each decides by its own backlog.
+    ``floor_share``: share of the capacity that each queue keeps; 0 turns floors off.
+    """
+
+    fleet_demand_min_entries: Annotated[int, msgspec.Meta(ge=2)] = 4
+    floor_share: Annotated[float, msgspec.Meta(ge=0, le=0.5)] = 0.15
+
+
 class NodeSettings(msgspec.Struct):
     """Settings of one process.
 
@@ -58,6 +70,7 @@
     reports_address: str = ""
     worker_address: str = ""
     service: str = ""
+    options: OptionSettings = msgspec.field(default_factory=OptionSettings)
 
     @property
     def metrics_address(self):
@@ -95,6 +108,8 @@
     tables = {"store": StoreSettings, "bounds": BoundSettings}
     for name, struct_type in tables.items():
         problems += _find_problems(name + ".", data.get(name), struct_type)
+    tables["options"] = OptionSettings
+    problems += _find_problems("options.", data.get("options", {}), OptionSettings)
     problems += _find_problems("", data, NodeSettings, skip=tables)
     for name in _REQUIRED_BY_ROLE[role]:
         if not data.get(name):
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -40,19 +40,9 @@
         else:
             _set_next_submission(owner, previous, (record, waiter, deadline_at))
         return
-    refusal = job_refusal(owner, record, now, deadline_at - now)
+    refusal = job_refusal(owner, job_id, record, now, deadline_at - now)
     if refusal is not None:
-        outcome, delay, reason = refusal
-        owner.count("refused_" + reason)
-        log(
-            owner,
-            "job.refused",
-            job=job_id,
-            queue=record.queue,
-            reason=reason,
-            retry_after=round(delay, 1),
-        )
-        answer(owner, waiter, outcome, delay, reason)
+        answer(owner, waiter, *refusal)
         return
     _start_job(owner, shard, job_id, record, waiter, deadline_at, now)
 
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -2,7 +2,7 @@
 
 import math
 
-from . import admission, confinement, workers
+from . import admission, confinement, demand, workers
 from .commands import Outcome, StoreRecord
 from .jobs import JobRecord, JobState, create_job, encode_record
 from .owner import (
@@ -35,12 +35,9 @@
         else:
             job.waiters.append(waiter)
         return
-    refusal = job_refusal(owner, record, now)
+    refusal = job_refusal(owner, job_id, record, now)
     if refusal is not None:
-        outcome, delay, reason = refusal
-        owner.count("refused_" + reason)
-        log(owner, "job.refused", job=job_id, queue=record.queue, reason=reason)
-        answer(owner, waiter, outcome, delay, reason)
+        answer(owner, waiter, *refusal)
         return
     record.accepted_epoch = shard.epoch
     job = create_job(job_id, shard_number, record, now)
@@ -50,8 +47,11 @@
     store_job(owner, job, (_acceptance_stored, job))
 
 
-def job_refusal(owner, record, now, caller_wait_s=math.inf):
-    """Return (outcome, delay, reason) if the job cannot be served, else None."""
+def job_refusal(owner, job_id, record, now, caller_wait_s=math.inf):
+    """Return (outcome, delay, reason) if the job cannot be served, else None.
+
+    A refusal is counted and logged.
+    """
     owner.confinement.record_submission(record.queue, record.service, now)
     candidates = [
         agent
@@ -62,20 +62,51 @@
         if candidates and not any(
             workers.fits_empty_worker(a.worker, step) for a in candidates
         ):
-            return Outcome.REFUSED, admission.RETRY_MAX_S, "too_large"
-    work, cores = work_and_cores(owner, record)
-    delay = admission.refusal_delay_s(
-        work, owner.run_times, record, cores, caller_wait_s
-    )
+            delay = admission.RETRY_MAX_S
+            return _refuse(owner, job_id, record, delay, "too_large", {})
+    delay, inputs = _backlog_delay(owner, job_id, record, now, caller_wait_s)
     if delay and now >= owner.workers_known_at:
-        return (
-            Outcome.REFUSED,
-            delay,
-            "stopping" if owner.is_shutting_down else "backlog",
-        )
+        reason = "stopping" if owner.is_shutting_down else "backlog"
+        return _refuse(owner, job_id, record, delay, reason, inputs)
     return None
 
 
+def _refuse(owner, job_id, record, delay, reason, inputs):
+    owner.count("refused_" + reason)
+    log(
+        owner,
+        "job.refused",
+        job=job_id,
+        queue=record.queue,
+        reason=reason,
+        retry_after=round(delay, 1),
+        **inputs,
+    )
+    return Outcome.REFUSED, delay, reason
+
+
+def _backlog_delay(owner, job_id, record, now, caller_wait_s):
+    """Return (delay, inputs of the decision); delay 0 to accept the job.
+
+    Without recent digests of the other entries, without usable workers, and for a queue
+    that is confined to a part of them, the entry decides by its own backlog.
+    """
+    view = demand.fleet_view(owner, now)
+    has_workers = view is not None and view.cores.get(record.service)
+    if not has_workers or record.queue in owner.confined_queues:
+        work, cores = work_and_cores(owner, record)
+        delay = admission.refusal_delay_s(
+            work, owner.run_times, record, cores, caller_wait_s
+        )
+        return delay, {"work": round(work, 2), "cores": round(cores, 1)}
+    share = owner.floors.share_of(view, record.service, record.queue)
+    forecast = admission.forecast_wait(view, record, owner.run_times, share)
+    delay = admission.fleet_refusal_delay_s(
+        forecast, owner.run_times, record, job_id, caller_wait_s
+    )
+    return delay, forecast.fields
+
+
 def work_and_cores(owner, record):
     """Return the core-seconds ahead of a job, and the cores that serve them."""
     if record.queue not in owner.confined_queues:
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -112,6 +112,7 @@
         "suspect_since",
         "backlog_level",
         "backlog_work",
+        "floor_work",
     )
 
     def __init__(self, job, step, index):
@@ -128,6 +129,7 @@
         self.suspect_since = None
         self.backlog_level = 0  # where it adds to the backlog
         self.backlog_work = 0.0  # core-seconds that it adds to the backlog
+        self.floor_work = 0.0  # core-seconds of its run charged to the queue's floor
 
     @property
     def spec(self):
@@ -163,6 +165,7 @@
         "finished_at",
         "deadline_at",
         "next_submission",
+        "effective_priority",
     )
 
     def __init__(self, job_id, shard, record, now):
@@ -185,6 +188,7 @@
         self.finished_at = now
         self.deadline_at = None  # when the caller of a best-effort job gives up
         self.next_submission = None  # starts when the runs of this one have ended
+        self.effective_priority = record.priority  # lower while served by its floor
 
     @property
     def has_started(self):
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -11,7 +11,9 @@
 from .commands import AnswerRequest, OwnerLogLine, SendMessage, StoreRecord
 from .confinement import create_confinement
 from .crash_history import create_crash_history
+from .demand import create_fleet_demand
 from .estimates import create_run_times
+from .floors import create_floors
 from .jobs import FailedRun, JobState, TaskStatus, encode_record
 from .placement_events import create_placement_events
 from .waiting import create_waiting_jobs
@@ -90,6 +92,8 @@
         "waiting",
         "placement_events",
         "backlog",
+        "demand",
+        "floors",
         "run_times",
         "crash_history",
         "confinement",
@@ -116,6 +120,8 @@
         self.waiting = create_waiting_jobs()
         self.placement_events = create_placement_events()
         self.backlog = admission.Backlog()
+        self.demand = create_fleet_demand()
+        self.floors = create_floors()
         self.run_times = create_run_times()
         self.crash_history = create_crash_history()
         self.confinement = create_confinement()
--- a/turmericknot/scheduling/pending.py
+++ b/turmericknot/scheduling/pending.py
@@ -31,12 +31,15 @@
         is_confined = record.queue in owner.confined_queues
         task.backlog_level = record.queue if is_confined else record.priority
         owner.backlog.add(task.backlog_level, task.backlog_work)
+        owner.demand.add_waiting(record, task.backlog_work)
+        owner.floors.refund(task)
 
 
 def dequeue_task(owner, task):
     """Remove a task from the waiting list."""
     owner.waiting.remove(task)
     owner.backlog.add(task.backlog_level, -task.backlog_work)
+    owner.demand.add_waiting(task.job.record, -task.backlog_work)
     task.backlog_work = 0.0
 
 
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -4,7 +4,7 @@
 
 from turmericknot.wire.shard_messages import RunName, RunStart, StartRuns
 
-from . import besteffort, confinement, crash_reports, quarantine, workers
+from . import besteffort, confinement, crash_reports, floors, quarantine, workers
 from .commands import SendMessage, StoreRecord
 from .job_requests import acknowledge_cancel, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
@@ -73,7 +73,7 @@
     candidates = {}  # shard number -> agents that may get its runs
     cells = {}  # service -> ids of the agents that confined queues may use
     avoided = {}  # service -> ids of the agents that other tasks should avoid
-    for job in owner.waiting.jobs():
+    for job in floors.jobs_in_order(owner, now):
         if skipped > MAX_SKIPPED_JOBS:
             break
         shard = owner.shards.get(job.shard)
@@ -195,6 +195,7 @@
 
 def _start_task(owner, shard, agent, task, now, starts):
     dequeue_task(owner, task)
+    owner.floors.charge(task)
     job = task.job
     base = (shard.epoch - job.record.accepted_epoch) * RUN_NUMBERS_PER_EPOCH
     task.run = max(task.run, base) + 1
@@ -214,7 +215,7 @@
         spec.memory,
         spec.accelerators,
         job.record.spec,
-        job.record.priority,
+        job.effective_priority,
         job.due_at
         - now
         + (LATE_JOB_DUE_OFFSET_S if owner.waiting.is_late(job) else 0.0),
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -164,7 +164,7 @@
     tasks of any entry. Agents whose ids are in ``quarantined`` come last.
     """
     spec = task.spec
-    overcommit = URGENT_OVERCOMMIT_SHARE if task.job.record.priority == 0 else 0.0
+    overcommit = URGENT_OVERCOMMIT_SHARE if task.job.effective_priority <= 0 else 0.0
     best = best_score = None
     for agent in agents:
         if not is_candidate(agent, task, now, overcommit):
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -276,18 +276,52 @@
     reason: str = ""
 
 
+class QueueDemand(msgspec.Struct, array_like=True, frozen=True):
+    """Demand of one queue: core-milliseconds waiting, and left of running runs.
+
+    ``used_cpu`` is what the runs use now, in thousandths of a core.
+    """
+
+    queue: str
+    service: str
+    priority: int
+    waiting_ms: int
+    running_ms: int
+    used_cpu: int
+
+
+class DemandDigest(msgspec.Struct, array_like=True, frozen=True):
+    """Demand of one entry, or the sum over ``entries``.
+
+    ``age_ms`` is the age of the oldest digest in the sum.
+    """
+
+    queues: list[QueueDemand]
+    entries: int = 1
+    age_ms: int = 0
+
+
 class PeerProbe(Message, tag=76):
-    """Ask a peer whether it is alive; answered with PeerStatus."""
+    """Ask a peer whether it is alive; answered with PeerStatus.
+
+    ``demand`` is that of the sender.
+    """
 
     sequence: int
+    demand: DemandDigest | None = None
 
 
 class PeerStatus(Message, tag=77):
-    """Report the shards that the sender serves and its unstarted jobs by queue."""
+    """Report the shards that the sender serves and its unstarted jobs by queue.
+
+    ``demand`` is the sum over all entries but the one that is answered. Only the owner
+    of the first shard sends it.
+    """
 
     sequence: int
     shards: list[ShardEpoch]
     pending: dict[str, int]
+    demand: DemandDigest | None = None
 
 
 SHARD_MESSAGES = (
