Play bursts of single queues in the model

The model could raise all rates by a wave, but not one queue at a time, and told nothing of how late a refusal comes. An experiment may now list bursts, the summary counts refusals later than a quarter of the objective, and the entries of the model exchange digests of their demand every 0.4 s.

--- a/turmericknot/model/description.py
+++ b/turmericknot/model/description.py
@@ -31,6 +31,15 @@
     period_s: float = 15.0
 
 
+class Burst(msgspec.Struct, forbid_unknown_fields=True):
+    """A time in which ``factor`` times as many jobs of a kind come."""
+
+    kind: str
+    at_s: float
+    for_s: float
+    factor: float
+
+
 class Trouble(msgspec.Struct, forbid_unknown_fields=True):
     """Something that happens to a share of the workers or entries.
 
@@ -72,6 +81,7 @@
     link_delay_s: float = 0.001
     call_delay_s: float = 0.001  # of a call to a worker, one way
     wave: Wave = msgspec.field(default_factory=Wave)
+    bursts: list[Burst] = []
     troubles: list[Trouble] = []
     variants: list[Variant] = msgspec.field(default_factory=lambda: [Variant("as is")])
     seeds: tuple[int, ...] = (1,)
@@ -113,6 +123,11 @@
             yield f"kinds.{number}.cpu: found {kind.cpu}; allowed: up to worker_cpu"
     if not 0 <= experiment.wave.swing < 1:
         yield f"wave.swing: found {experiment.wave.swing}; allowed: 0 to below 1"
+    for number, burst in enumerate(experiment.bursts):
+        if burst.kind not in [kind.name for kind in experiment.kinds]:
+            yield f"bursts.{number}.kind: found {burst.kind!r}; allowed: a kind"
+        if burst.factor < 0:
+            yield f"bursts.{number}.factor: found {burst.factor}; allowed: 0 or more"
     for number, trouble in enumerate(experiment.troubles):
         if trouble.kind not in TROUBLE_KINDS:
             allowed = ", ".join(TROUBLE_KINDS)
--- a/turmericknot/model/site.py
+++ b/turmericknot/model/site.py
@@ -5,6 +5,7 @@
 
 from turmericknot.scheduling import (
     besteffort,
+    demand,
     neighborhood,
     owner as owners,
     reports,
@@ -19,6 +20,7 @@
 
 LEAD_S = 4.0  # before the first job: connections and grants
 TICK_INTERVAL_S = 0.1
+PROBE_INTERVAL_S = 0.4  # of the entries among each other
 CRASH_DELAY_S = 0.01  # from the start of a deadly task to the crash of its worker
 
 
@@ -31,6 +33,7 @@
         "objective_s",
         "outcome",
         "seconds",
+        "answered_s",
         "is_deadly",
         "crashes",
     )
@@ -40,7 +43,8 @@
         self.submitted_at = submitted_at  # seconds since the first job may come
         self.objective_s = objective_s
         self.outcome = None  # Outcome, or None: no answer
-        self.seconds = math.inf
+        self.seconds = math.inf  # until it succeeded
+        self.answered_s = math.inf  # until any answer
         self.is_deadly = False  # whether a task of it crashes each worker
         self.crashes = 0  # of workers, by that task
 
@@ -197,14 +201,20 @@
         return self._deadly_trouble.down_s
 
     def _schedule_next_job(self, kind):
-        """Draw the arrivals of a Poisson process whose rate follows the wave."""
+        """Draw the arrivals of a Poisson process; the rate follows wave and bursts."""
         wave = self._experiment.wave
-        highest_rate = kind.jobs_per_s * (1 + wave.swing)
+        bursts = [b for b in self._experiment.bursts if b.kind == kind.name]
+        highest_factor = max([1.0, *(burst.factor for burst in bursts)])
+        highest_rate = kind.jobs_per_s * (1 + wave.swing) * highest_factor
         at = max(self.clock.now, LEAD_S)
         while True:
             at += self._load_rng.expovariate(highest_rate)
             phase = 2 * math.pi * (at - LEAD_S) / wave.period_s
             share = (1 + wave.swing * math.sin(phase)) / (1 + wave.swing)
+            share /= highest_factor
+            for burst in bursts:
+                if 0 <= at - LEAD_S - burst.at_s < burst.for_s:
+                    share *= burst.factor
             if self._load_rng.random() < share:
                 break
         if at < LEAD_S + self._experiment.duration_s:
@@ -250,6 +260,7 @@
     def _record_answer(self, command):
         result = command.waiter
         result.outcome = command.outcome
+        result.answered_s = self.clock.now - LEAD_S - result.submitted_at
         if command.outcome is Outcome.SUCCEEDED:
             result.seconds = self.clock.now - LEAD_S - result.submitted_at
 
@@ -269,7 +280,29 @@
                 runs.tick(entry.owner, self.clock.now)
                 self._execute_commands(entry)
 
+        def probe():
+            if entry.boots == boots and entry.owner is not None:
+                self._exchange_demand(entry)
+
         self.clock.call_repeatedly(TICK_INTERVAL_S, tick, TICK_INTERVAL_S)
+        first_probe_s = PROBE_INTERVAL_S * (entry.number + 1) / len(self._entries)
+        self.clock.call_repeatedly(first_probe_s, probe, PROBE_INTERVAL_S)
+
+    def _exchange_demand(self, entry):
+        """Report the demand of an entry to the first one that is there."""
+        now = self.clock.now
+        first = next(other for other in self._entries if other.owner is not None)
+        if first is entry:
+            return
+        first.owner.demand.record_report(
+            entry.number, demand.own_digest(entry.owner, now), now
+        )
+        entry.owner.demand.record_status(
+            first.owner.demand.sum_for(
+                entry.number, demand.own_digest(first.owner, now), now
+            ),
+            now,
+        )
 
     def _begin_trouble(self, trouble):
         if trouble.kind == "entry_loss":
--- a/turmericknot/model/summary.py
+++ b/turmericknot/model/summary.py
@@ -37,7 +37,8 @@
         "jobs": len(results),
         "in_time": _share(results, _is_in_time),
         "late": _share(results, _is_late),
-        "refused": _share(results, lambda r: r.outcome is Outcome.REFUSED),
+        "refused": _share(results, _is_refused),
+        "refused_late": _share(results, _is_refused_late),
         "p50_ms": _quantile_ms(seconds, 0.5),
         "p99_ms": _quantile_ms(seconds, 0.99),
     }
@@ -51,6 +52,15 @@
     return result.objective_s < result.seconds <= LATE_FACTOR * result.objective_s
 
 
+def _is_refused(result):
+    return result.outcome is Outcome.REFUSED
+
+
+def _is_refused_late(result):
+    """Return whether the caller has lost a good part of its time by the refusal."""
+    return _is_refused(result) and result.answered_s > result.objective_s / 4
+
+
 def _share(results, condition):
     return sum(map(condition, results)) / len(results) if results else 0.0
 
