Do not return a failed task to the worker that has just failed it

Cause: the end of a failed run frees capacity at its agent, and the pass over the agents with freed capacity precedes the one over all agents. The task was offered its own worker alone, so the next attempt, often the last one, went where the first had failed. The rule that a last attempt goes to a sound worker was not applied anywhere.

Change: such a task waits for the pass over all agents that follows at once. For a last attempt, workers that may not be sound come last.

Measured: the new test fails without either part. tests/scheduling and tests/model passed.

--- a/tests/scheduling/test_worker_health.py
+++ b/tests/scheduling/test_worker_health.py
@@ -332,3 +332,20 @@
     view = entry.owner.agents["agent-0"]
     assert view.health is None
     assert standing.state_of(view, site.now) is HealthState.FAILING
+
+
+def test_last_attempt_goes_to_a_sound_worker(create_site):
+    """An empty worker that has just failed a run must not get it."""
+    site = create_site(agents=3)
+    (entry,) = site.entries.values()
+    site.advance(0.3)
+    record = create_job_record(tasks=1, attempts=2, estimate=1.0)
+    entry.submit_best_effort("w", site.now, "1" * 16, record)
+    site.deliver_all()
+    (first,) = [agent for agent in site.agents.values() if agent.worker.running]
+    doubtful, sound = [agent for agent in site.agents.values() if agent is not first]
+    entry.owner.agents[doubtful.name].consecutive_failures = 1
+    entry.owner.agents[sound.name].foreign_cpu = 2000
+    first.worker.end_run(next(iter(first.worker.running)), RunEnd.FAILED)
+    site.advance(0.3)
+    assert len(sound.worker.started) == 1
--- a/turmericknot/scheduling/offers.py
+++ b/turmericknot/scheduling/offers.py
@@ -3,7 +3,14 @@
 What a pass needs more than once, of agents, racks and jobs, is computed once.
 """
 
-from . import confinement, place_wait, placement, quarantine, workers
+from . import (
+    confinement,
+    place_wait,
+    placement,
+    quarantine,
+    worker_standing,
+    workers,
+)
 from .owner import log
 
 # Jobs examined in one pass that wait for their rack and are not counted as skipped.
@@ -23,6 +30,7 @@
         "_near",
         "_cells",
         "_avoided",
+        "_doubtful",
         "_racks",
         "_terms",
         "_examined_waits",
@@ -38,6 +46,7 @@
         self._near = {}  # (shard number, rack) -> those of them on the rack
         self._cells = {}  # service -> ids of the agents that confined queues may use
         self._avoided = {}  # service -> ids of the agents that other tasks should avoid
+        self._doubtful = None  # ids of the agents whose workers may not be sound
         self._racks = {}  # (service, rack) -> RackUse
         self._terms = (None, None)  # (job, step) and its Terms
         self._examined_waits = 0
@@ -73,7 +82,12 @@
         return self._examined_waits <= MAX_EXAMINED_WAITS
 
     def choose_agent(self, shard, task, is_confined):
-        """Return the agent for a task, or None if no worker has capacity."""
+        """Return the agent for a task, or None if no worker has capacity.
+
+        A task that has failed does not return to that worker, or to a doubtful one for
+        its last attempt, in a pass over a few agents if one over all agents follows:
+        the few are often just the worker whose capacity the failed run has freed.
+        """
         service = task.job.record.service
         if service not in self._cells:
             self._divide_agents(service)
@@ -83,15 +97,36 @@
             cell = self._cells[service]
             agents = [agent for agent in agents if agent.id in cell]
             near = [agent for agent in near if agent.id in cell]
-        return placement.choose_agent_from_sample(
+        doubtful = self._doubtful_agents(task)
+        agent = placement.choose_agent_from_sample(
             agents,
             task,
             self._now,
             self._owner.rng,
-            self._avoided[service],
+            self._avoided[service] | doubtful,
             self._terms_of(task),
             near,
         )
+        is_offered_next = task.job.id in self._owner.placement_events.new_jobs
+        if agent is None or not task.failures or not is_offered_next:
+            return agent
+        is_avoided = agent.id in doubtful or agent.id in task.avoided_agents
+        return None if is_avoided else agent
+
+    def _doubtful_agents(self, task):
+        """Return the ids of the agents whose workers should not get the last attempt.
+
+        Its failure fails the job, so it goes to a worker that is known to be sound.
+        """
+        if not task.failures or task.failures + 1 < task.job.record.attempts:
+            return frozenset()
+        if self._doubtful is None:
+            self._doubtful = frozenset(
+                agent.id
+                for agent in self._owner.agents.values()
+                if not worker_standing.is_sound(agent, self._now)
+            )
+        return self._doubtful
 
     def _candidates_of(self, shard):
         owner = self._owner
