Log why a start counts as not begun, and notice runs that contradict it

run.not_listed names the earlier process that may have begun the run; refusal.contradicted and turmericknot_refusals_contradicted_total tell that a refusal was wrong; job.overdue tells how many runs were sent. No decision is changed. tests/scheduling (without the fuzzer) and tests/test_docs.py pass.

--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -173,6 +173,7 @@
         counters = {
             "runs_ended": runs.last_listed_end,
             "starts_refused_evacuated": runs.evacuation.refused_starts,
+            "refusals_contradicted": runs.contradicted_refusals,
         }
         health_counters, health_gauges = health_reports.metric_values(runs)
         return counters | health_counters, gauges | health_gauges
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -176,6 +176,7 @@
         queue=job.record.queue,
         reason=reason,
         started=job.has_started,
+        sent=job.sent_runs,
         waited=round(now - job.submitted_at, 3),
     )
     waiters, job.waiters = job.waiters, []
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -160,6 +160,7 @@
         "unacknowledged_ends",
         "unacknowledged_since",
         "submitted_at",
+        "sent_runs",
         "possible_runs",
         "due_at",
         "finished_at",
@@ -183,6 +184,7 @@
         self.unacknowledged_ends = []  # acknowledged once the progress is stored
         self.unacknowledged_since = 0.0
         self.submitted_at = now
+        self.sent_runs = 0  # runs that an agent was asked to start
         self.possible_runs = 0  # runs that have started, or may have
         self.due_at = now
         self.finished_at = now
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -191,6 +191,7 @@
     task.status = TaskStatus.RUNNING
     task.agent = agent.id
     task.started_at = now
+    job.sent_runs += 1
     job.possible_runs += 1
     spec = task.spec
     run_s = owner.run_times.expected_run_s(job.record.queue, spec)
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -8,7 +8,14 @@
 from .worker_crashes import worker_answered
 from .worker_leases import check_grants, lease_deadline_ms, mark_synced
 from .worker_pace import check_progress, stop_companions
-from .worker_runs import FENCE_STEP_MS, inherited_shard, log, report_end, stop_run
+from .worker_runs import (
+    FENCE_STEP_MS,
+    check_refusal,
+    inherited_shard,
+    log,
+    report_end,
+    stop_run,
+)
 from .worker_starts import start_confirmed, start_queued_runs, start_refused
 from .worker_types import LeaseRenewal, Run
 
@@ -114,6 +121,7 @@
     run = Run(name, shard, is_confirmed=True, confirmed_at=now, is_inherited=True)
     state.runs[name] = run
     log(state, "run.found", job=name.job, run=name.run)
+    check_refusal(state, name)
     stop_run(state, run, now)
 
 
@@ -128,6 +136,8 @@
         return
     state.last_listed_end = row.number
     run = state.runs.pop(row.name, None)
+    if run is None:
+        check_refusal(state, row.name)
     run_ms = 0.0
     if run is not None and run.confirmed_at:
         run_ms = (now - run.confirmed_at) * 1000
@@ -155,4 +165,12 @@
     elif (
         run.pending_start is None and run.is_start_unanswered and call.fence > run.fence
     ):
+        log(
+            state,
+            "run.not_listed",
+            job=run.name.job,
+            task=f"{run.name.step}.{run.name.index}",
+            run=run.name.run,
+            former_life=run.former_life,
+        )
         start_refused(state, run.name, "answer_lost")
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -28,6 +28,8 @@
 # How long a recalled worker is used without a report. Workers report every 1.5 s, and
 # a draining worker must get no runs from 2 s after it has reported that.
 RECALLED_WORKER_TIMEOUT_S = 1.9
+# Refused starts that are remembered, to notice a worker that began one all the same.
+MAX_REFUSED_RUNS = 200
 # Owners count the time down that a worker remains cold. They are told when its report
 # differs from that by more than this.
 COLD_STEP_S = 0.5
@@ -62,6 +64,8 @@
         "unreachable_since",
         "answered_at",
         "recent_crashes",
+        "refused_runs",
+        "contradicted_refusals",
         "evacuation",
         "leave_notices",
         "health",
@@ -101,6 +105,8 @@
         self.unreachable_since = None
         self.answered_at = now  # when the worker last answered a call
         self.recent_crashes = OrderedDict()  # life -> (time, WorkerCrashed)
+        self.refused_runs = OrderedDict()  # RunName -> reason, of starts that were sent
+        self.contradicted_refusals = 0  # refused runs that the worker has listed
         self.evacuation = evacuation.create_agent_evacuation()
         self.leave_notices = {}  # stream of an owner -> last LeaveNotice
         self.health = None  # WorkerHealth, if the agent judges its worker
@@ -274,6 +280,7 @@
         if next_id == state.life.id and run.pending_start is None and not run.is_listed:
             run.is_confirmed = False
             run.is_start_unanswered = True
+            run.former_life = state.life.key
             run.fence = state.fence
             continue
         del state.runs[name]
@@ -344,6 +351,29 @@
         state.commands.append(SendToOwner(shard_grant.stream, message))
 
 
+def remember_refusal(state, name, reason):
+    """Remember that a start was reported as refused after it had been decided."""
+    state.refused_runs[name] = reason
+    if len(state.refused_runs) > MAX_REFUSED_RUNS:
+        state.refused_runs.popitem(last=False)
+
+
+def check_refusal(state, name):
+    """Log and count a listed run whose start was reported as refused."""
+    reason = state.refused_runs.pop(name, None)
+    if reason is None:
+        return
+    state.contradicted_refusals += 1
+    log(
+        state,
+        "refusal.contradicted",
+        job=name.job,
+        task=f"{name.step}.{name.index}",
+        run=name.run,
+        reason=reason,
+    )
+
+
 def inherited_shard(state, job_id):
     """Return the shard of a job that an earlier agent process served.
 
--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -9,7 +9,7 @@
 from .jobs import RunEnd
 from .worker_crashes import is_suspect_on_probation
 from .worker_leases import has_valid_grant, lease_deadline_ms, may_start_runs
-from .worker_runs import raise_fence, report_end, send, stop_run
+from .worker_runs import raise_fence, remember_refusal, report_end, send, stop_run
 from .worker_types import Run, SendToOwner, StartCall
 
 MAX_QUEUED_RUNS = 16  # runs that may wait for capacity
@@ -253,6 +253,8 @@
     """Remove a run that the worker did not start, and notify its owner."""
     run = state.runs.pop(name, None)
     if run is not None:
+        if run.pending_start is None:
+            remember_refusal(state, name, reason)
         if state.evacuation.is_evacuated and reason in ("no_grant", EVACUATED):
             reason = EVACUATED  # also of a call that was not sent for this
             state.evacuation.refused_starts += 1
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -70,6 +70,8 @@
     confirmed_at: float = 0.0
     is_listed: bool = False  # the worker has listed it in a renewal
     is_start_unanswered: bool = False  # the response to its start was lost
+    # An earlier incarnation of the worker that may have begun the run; empty if none.
+    former_life: str = ""
     is_stopping: bool = False
     stop_sent_at: float = 0.0
     is_inherited: bool = False  # listed, but unknown to this agent process
