Add a failing test: a job that ran on a restarted worker is refused

What callers see: 429, which says that the job never runs, although a worker that came back at once under its id had started a task of it. The test fails on this code with REFUSED in place of UNDECIDED, for a worker that is back at once and for one that is back after 0.3 s.

--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -1,5 +1,7 @@
 """Best-effort jobs when callers, agents or entries disappear."""
 
+import pytest
+
 from turmericknot.scheduling import besteffort, reports, runs
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.jobs import RunEnd
@@ -310,6 +312,25 @@
     assert [name.job for _, name in site.running(JOB_ID)] == []
 
 
+@pytest.mark.parametrize("down_s", [0.0, 0.3])
+def test_job_that_ran_on_a_restarted_worker_is_not_refused(create_site, down_s):
+    """A job was refused after a worker that came back at once had started its task."""
+    site = create_site(agents=1, cpu=1000)
+    entry, agent = site.entries["entry-0"], site.agents["agent-0"]
+    record = create_job_record(tasks=1, priority=1)
+    entry.submit_best_effort("caller", site.now, job_record=record, wait=3.0)
+    site.deliver_all()
+    assert [name.job for name in agent.worker.started] == [JOB_ID]
+    agent.crash(site.now, down_s)
+    urgent_record = create_job_record(tasks=1, estimate=9.0, priority=0)
+    entry.submit_best_effort(
+        "urgent caller", site.now, "00000000000000b1", urgent_record, wait=60.0
+    )
+    site.advance(4.0)
+    assert [name.job for name in agent.worker.started] == [JOB_ID, "00000000000000b1"]
+    assert entry.answers == [("caller", Outcome.UNDECIDED)]
+
+
 def test_job_longer_than_its_caller_waits_is_refused_at_once(site):
     """A job that cannot end in time must not use capacity that others need."""
     entry = site.entries["entry-0"]
