Report a run as lost, not refused, if an earlier worker process had it

What callers saw: 429, which says that the job never runs, for a job of which a task had started.

Cause: a worker that restarts under its id takes calls meant for its former process, so a run that no list has shown is kept until the next renewal. That renewal is answered by the new process. Its list was taken as proof that the start had never been carried out, also if the former process had confirmed it. The owner took the refused run off the count of runs that may have started, and end_overdue_jobs refused the job.

Change: such a run remembers the earlier incarnation, and is reported as lost if the present one does not list it. The task starts again as before; the job counts as one that may have started.

--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -173,4 +173,8 @@
             run=run.name.run,
             former_life=run.former_life,
         )
-        start_refused(state, run.name, "answer_lost")
+        if run.former_life:
+            del state.runs[run.name]
+            report_end(state, run.shard, EndedRun(run.name, 0, RunEnd.LOST))
+        else:
+            start_refused(state, run.name, "answer_lost")
