Count a run as not begun only if its refusal proves that

What callers saw: 429, which says that the job never runs, for a job with a start that an agent had given up without knowing its fate.

Cause: each refused run was taken off the runs that may have started, whatever the reason. A start without an answer (answer_lost) is fenced off at the process that got it, but a worker that restarts under its id has seen no fence and may still carry it out; old says that the worker knows the run number; a reason that is not known says nothing. 'Not known to have started' was taken for 'known not to have started'.

Change: start_refusals lists the reasons that prove that a run never began. All others leave the job as one that may have started: its caller is answered with 504. Such runs still count as not started for the number of waiting jobs and the state shown, which need the likelier case.

Evidence: test_job_is_refused_only_if_no_run_can_have_begun failed before for answer_lost, old and a reason without a name, with REFUSED.

--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from turmericknot.scheduling import besteffort, reports, runs
+from turmericknot.scheduling import besteffort, reports, runs, worker_starts
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.jobs import RunEnd
 from turmericknot.wire import shard_messages as wire
@@ -331,6 +331,36 @@
     assert entry.answers == [("caller", Outcome.UNDECIDED)]
 
 
+@pytest.mark.parametrize(
+    ("reason", "outcome"),
+    [
+        ("room", Outcome.REFUSED),
+        ("unreachable", Outcome.REFUSED),
+        ("answer_lost", Outcome.UNDECIDED),
+        ("old", Outcome.UNDECIDED),
+        ("unnamed", Outcome.UNDECIDED),
+    ],
+)
+def test_job_is_refused_only_if_no_run_can_have_begun(create_site, reason, outcome):
+    """A start that was not certainly rejected may have begun."""
+    site = create_site(agents=1, cpu=1000)
+    entry, agent = site.entries["entry-0"], site.agents["agent-0"]
+    agent.executes_calls = False
+    record = create_job_record(tasks=1, priority=1)
+    entry.submit_best_effort("caller", site.now, job_record=record, wait=3.0)
+    site.deliver_all()
+    (call,) = agent.start_calls
+    urgent_record = create_job_record(tasks=1, estimate=9.0, priority=0)
+    entry.submit_best_effort(
+        "urgent caller", site.now, "00000000000000b1", urgent_record, wait=60.0
+    )
+    agent.executes_calls = True
+    worker_starts.start_refused(agent.state, call.name, reason)
+    site.advance(4.0)
+    assert site.running(JOB_ID) == []
+    assert entry.answers == [("caller", outcome)]
+
+
 def test_job_longer_than_its_caller_waits_is_refused_at_once(site):
     """A job that cannot end in time must not use capacity that others need."""
     entry = site.entries["entry-0"]
--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from turmericknot.scheduling import job_requests, ownership, runs
+from turmericknot.scheduling import job_requests, ownership, runs, worker_starts
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.jobs import RunEnd, agent_key, encode_record
 from turmericknot.scheduling.owner import pending_by_queue
@@ -344,6 +344,26 @@
     assert entry.answers == [("cancel", Outcome.CANCELLED)]
 
 
+def test_job_whose_start_was_probably_not_carried_out_still_waits(owned_site):
+    """Guards against pending counts that leave out jobs with lost starts."""
+    entry = owned_site.entries["entry-0"]
+    for agent in owned_site.agents.values():
+        agent.executes_calls = False
+    submit(owned_site, entry)
+    owned_site.store_records(entry)
+    owned_site.advance(0.05)
+    owned_site.store_records(entry)
+    assert pending_by_queue(entry.owner) == {}
+    for agent in owned_site.agents.values():
+        for call in agent.start_calls:
+            worker_starts.start_refused(agent.state, call.name, "answer_lost")
+        agent.report(owned_site.now, usable=False)
+        owned_site.send_worker_report(agent)
+    owned_site.deliver_all()
+    assert pending_by_queue(entry.owner) == {"q": 1}
+    assert query_outcome(owned_site, entry) is Outcome.QUEUED
+
+
 def test_job_whose_starts_were_refused_still_waits(owned_site):
     """Guards against pending counts that leave out most of the waiting jobs."""
     entry = owned_site.entries["entry-0"]
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -204,7 +204,8 @@
     except msgspec.DecodeError:
         refusal = _RefusalBody()
     if reply.status in (400, 409):
-        raise WorkerRefused(refusal.reason or "malformed", refusal.clock_ms)
+        unnamed = "malformed" if reply.status == 400 else "unnamed"
+        raise WorkerRefused(refusal.reason or unnamed, refusal.clock_ms)
     raise WorkerUnavailable(f"worker answered {reply.status}")
 
 
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -156,7 +156,7 @@
                 continue
             if now >= job.deadline_at - STOP_BEFORE_DEADLINE_S:
                 _end_unserved_job(owner, job, Outcome.UNDECIDED, "deadline", now)
-            elif not job.has_started and _will_be_too_late(owner, job, now):
+            elif not job.may_have_started and _will_be_too_late(owner, job, now):
                 _end_unserved_job(owner, job, Outcome.REFUSED, "too_late", now)
 
 
@@ -175,7 +175,7 @@
         job=job.id,
         queue=job.record.queue,
         reason=reason,
-        started=job.has_started,
+        started=job.may_have_started,
         sent=job.sent_runs,
         waited=round(now - job.submitted_at, 3),
     )
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -131,7 +131,7 @@
     elif job.published_state in _OUTCOMES:
         answer(owner, waiter, _OUTCOMES[job.published_state])
     else:
-        answer(owner, waiter, Outcome.RUNNING if job.has_started else Outcome.QUEUED)
+        answer(owner, waiter, Outcome.QUEUED if job.is_pending else Outcome.RUNNING)
 
 
 def cancel_job(owner, shard_number, job_id, waiter, now):
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -162,6 +162,7 @@
         "submitted_at",
         "sent_runs",
         "possible_runs",
+        "doubtful_runs",
         "due_at",
         "finished_at",
         "deadline_at",
@@ -186,6 +187,7 @@
         self.submitted_at = now
         self.sent_runs = 0  # runs that an agent was asked to start
         self.possible_runs = 0  # runs that have started, or may have
+        self.doubtful_runs = 0  # those of them that have probably not started
         self.due_at = now
         self.finished_at = now
         self.deadline_at = None  # when the caller of a best-effort job gives up
@@ -193,13 +195,15 @@
         self.next_submission = None  # starts when the runs of this one have ended
 
     @property
-    def has_started(self):
-        """Return whether a task of the job has started, or may have.
-
-        A run that an agent or a worker has refused never started.
-        """
+    def may_have_started(self):
+        """Return whether it is not certain that no task of the job has started."""
         return self.possible_runs > 0
 
+    @property
+    def is_pending(self):
+        """Return whether probably no task of the job has started."""
+        return self.possible_runs == self.doubtful_runs
+
     @property
     def is_active(self):
         """Return whether tasks of the job may start."""
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -294,7 +294,7 @@
     pending = {}
     for shard in owner.shards.values():
         for job in shard.jobs.values():
-            if job.is_stored and not job.has_started and job.state is JobState.ACTIVE:
+            if job.is_stored and job.is_pending and job.state is JobState.ACTIVE:
                 queue = job.record.queue
                 pending[queue] = pending.get(queue, 0) + 1
     return pending
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -33,6 +33,7 @@
     finish_if_complete,
     run_ended_without_result,
 )
+from .start_refusals import proves_no_start
 
 # A worker below this share of the expected speed is slow.
 SLOW_PACE_RATIO = 0.4
@@ -312,7 +313,10 @@
             continue
         if task.status is not TaskStatus.RUNNING:
             continue
-        task.job.possible_runs -= 1
+        if proves_no_start(refusal.reason):
+            task.job.possible_runs -= 1
+        else:
+            task.job.doubtful_runs += 1
         if refusal.reason == "old":
             # An earlier submission of the job has used this run number on the worker.
             task.run += RUN_NUMBERS_PER_EPOCH
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -148,7 +148,10 @@
 
 
 class RefusedRun(msgspec.Struct, array_like=True, frozen=True):
-    """A run that did not start and never will."""
+    """A run that did not start and never will, as far as the agent knows.
+
+    ``scheduling.start_refusals`` tells for which reasons that is certain.
+    """
 
     name: RunName
     reason: str
