Judge no run by a list of ends that may lack some

What would be seen: a task that has run starts again (TWICE), or its job is refused as one that never ran.

Cause: a worker lists 500 ends at a time. While ends of durable jobs wait for the store, they fill the list, and a run that has ended after them is in neither list. The agent took that for a run that had vanished.

Change: the adapter tells whether the list is full; then runs that are not listed are left alone until a later list.

Evidence: read from the protocol, not seen in a run of the system. test_run_whose_end_does_not_fit_into_the_list_is_not_lost fails without the check in worker_lists, with an end LOST for a run of unknown fate.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -234,3 +234,11 @@
     problems = " ".join(caught.value.problems)
     for name in ("link_port", "store.address", "store.partitions", "jobs_address"):
         assert name in problems
+
+
+@pytest.mark.parametrize(("ends", "has_more_ends"), [(499, False), (500, True)])
+def test_full_list_of_ends_may_lack_some(ends, has_more_ends):
+    """A run that a full list lacks must not be taken for one that has vanished."""
+    rows = [[n, f"00000000000000a1.0.0.{n}", 1, "done", ""] for n in range(1, ends + 1)]
+    body = msgspec.json.encode({"clock_ms": 1, "running": [], "ended": rows})
+    assert workers._decode_run_lists(body).has_more_ends is has_more_ends
--- a/tests/scheduling/test_worker_runs.py
+++ b/tests/scheduling/test_worker_runs.py
@@ -550,6 +550,16 @@
     assert agent.state.runs == {}
 
 
+def test_run_whose_end_does_not_fit_into_the_list_is_not_lost(agent):
+    """Its task would start a second time after the run was done."""
+    request_starts(agent, 100.0, 0)
+    renewal = worker_lists.next_lease_renewal(agent.state, 100.1)
+    result = worker_types.LeaseRenewalResult(100_100, 1, has_more_ends=True)
+    worker_lists.lease_renewal_answered(agent.state, renewal, result, 100.1)
+    assert agent.execute_calls(100.1) == []
+    assert len(agent.state.runs) == 1
+
+
 def test_each_end_is_forgotten_once(agent):
     """The agent must not repeat the number up to which ends may be forgotten.
 
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -29,6 +29,7 @@
 WORKER_CALL_TIMEOUT_S = 0.2
 REPORT_PATH_PREFIX = "/instances/"
 MAX_LOGGED_ROW_CHARS = 100
+MAX_LISTED_ENDS = 500  # the platform's limit for one list
 
 _RUN_ENDS = {
     "done": RunEnd.DONE,
@@ -214,7 +215,11 @@
         lists = _run_lists_decoder.decode(body)
     except msgspec.DecodeError as error:
         raise WorkerUnavailable(f"unreadable lists: {error}") from error
-    result = LeaseRenewalResult(lists.clock_ms, lists.born)
+    result = LeaseRenewalResult(
+        lists.clock_ms,
+        lists.born,
+        has_more_ends=len(lists.ended) >= MAX_LISTED_ENDS,
+    )
     for row in lists.running:
         name = _decode_run_name(row, 0)
         if name is None:
--- a/turmericknot/scheduling/worker_lists.py
+++ b/turmericknot/scheduling/worker_lists.py
@@ -86,7 +86,7 @@
     for row in result.ended:
         _record_end(state, row, now)
     for name, run in list(state.runs.items()):
-        if name not in listed_runs:
+        if name not in listed_runs and not result.has_more_ends:
             _check_unlisted_run(state, run, call)
     if not state.is_synced and not listed_runs:
         mark_synced(state)
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -172,9 +172,13 @@
 
 @dataclass(slots=True)
 class LeaseRenewalResult:
-    """Response of the worker to LeaseRenewal; ``clock_ms`` is the worker's clock."""
+    """Response of the worker to LeaseRenewal; ``clock_ms`` is the worker's clock.
+
+    ``has_more_ends``: the worker may have ends that do not fit into the list.
+    """
 
     clock_ms: int
     born: int | None
     running: list = field(default_factory=list)
     ended: list = field(default_factory=list)
+    has_more_ends: bool = False
