Let a crashed stand-in worker ignore what still arrives

What was seen: test_task_that_crashes_its_workers_is_given_up failed with 19 crashes in place of 2 while three copies of it and other test runs kept the machine busy.

Cause: a request that had been read before the crash was handled after it. If it was a start, the stand-in crashed a second time beside the first: the next process could not listen (address in use), and the one that did was never stopped, so that later crashes ended no connection.

Change: while the worker is down it carries out nothing and does not crash again.

Measured: in 24 runs of the test after it, three copies at a time, no address was in use. Three of them failed otherwise: two with 3 crashes, one in which a process of the site did not start within 60 s.

--- a/tests/standins/leased_worker.py
+++ b/tests/standins/leased_worker.py
@@ -42,6 +42,7 @@
         self.sequence = 0
         self.state = "ready"
         self.is_silent = False  # if true, no reports are sent
+        self.is_down = False  # from a crash to the start of the next process
         self.crashed_tasks = []  # first task of a step that crashed the worker
         self.run_ended = asyncio.Event()
         self.server = create_http_server(self.handle)
@@ -58,7 +59,9 @@
 
     async def crash(self):
         """End the process with all runs; another one starts some time later."""
-        self.is_silent = True
+        if self.is_down:
+            return
+        self.is_silent = self.is_down = True
         self.server.stop()
         for _, _, _, timer, row in self.running.values():
             timer.cancel()
@@ -75,7 +78,7 @@
         self.name += "x"
         self.server = create_http_server(self.handle)
         await self.server.start(self.address)
-        self.is_silent = False
+        self.is_silent = self.is_down = False
 
     def _crash_soon(self, task):
         self.crashed_tasks.append(task)
@@ -121,6 +124,8 @@
                     self._end_run(task, "lapsed")
 
     async def handle(self, request):
+        if self.is_down:
+            return Response(500)  # of a connection that is being closed
         if request.headers.get(EXPECT_HEADER, self.name) != self.name:
             return Response(421)
         body = msgspec.json.decode(request.body)
