Answer a refusal after a lost answer with 504, not 429

What callers saw: 429, which says that the job never runs, although an earlier attempt of the same request had no answer. The entry had sent the job to an owner whose link was lost, or which lost the shard while the record was being stored, and asked the next owner, which refused it. The first attempt may still be accepted: its message waits at an owner that was paused, or its owner has stored the job and the refusal came from one that had been replaced.

Cause: _request_owner made NOT_READY after an undecided attempt undecided, but returned REFUSED at once, as if it spoke for all attempts.

Change: all outcomes that say "not taken" are treated alike; they hold for the request only if no earlier attempt is undecided. An acceptance answers for all attempts, since the id is the same.

The answer was reproduced with chosen answers of the owners, not on a running site.

--- a/turmericknot/node/requests.py
+++ b/turmericknot/node/requests.py
@@ -22,6 +22,10 @@
 OWNER_WAIT_TIMEOUT_S = 1.0
 ATTEMPT_TIMEOUT_S = 1.1  # after this time the owner's answer counts as lost
 RETRY_DELAY_S = 0.02
+# The reasons of an answer after which a later owner may decide otherwise.
+RETRY_REASONS = frozenset({"not_owner", "owner_changed", "link_lost"})
+# Outcomes that say that the job was not taken, but only by the attempt they answer.
+_NOT_TAKEN_OUTCOMES = frozenset({Outcome.REFUSED, Outcome.NOT_READY})
 
 
 @dataclass(slots=True)
@@ -117,7 +121,12 @@
                 future.set_result(Answer(Outcome.UNDECIDED, reason="link_lost"))
 
     async def _request_owner(self, shard, request_locally, create_message, timeout_s):
-        """Repeat a request to the owner until it is decided or the time is up."""
+        """Repeat a request to the owner until it is decided or the time is up.
+
+        An attempt without an answer may still be carried out: by an owner that was
+        paused, or one that has stored the job. A refusal of a later attempt says
+        nothing about it, so the request as a whole is then undecided.
+        """
         started_at = steady_time()
         last_answer = Answer(Outcome.NOT_READY, 1.0, "no_owner")
         is_undecided = False
@@ -133,15 +142,13 @@
                     break
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
-            if answer.outcome not in (Outcome.NOT_READY, Outcome.UNDECIDED):
-                return answer
             last_answer = answer
             is_undecided = is_undecided or answer.outcome is Outcome.UNDECIDED
-            if answer.reason not in ("not_owner", "owner_changed", "link_lost"):
+            if answer.reason not in RETRY_REASONS:
                 break
             self._node.membership.request_owner_refresh()
             await asyncio.sleep(RETRY_DELAY_S)
-        if is_undecided:
+        if is_undecided and last_answer.outcome in _NOT_TAKEN_OUTCOMES:
             return Answer(Outcome.UNDECIDED, reason=last_answer.reason)
         return last_answer
 
