Promise "never runs" only for the outcomes that carry it

What callers saw: nothing so far. submission_response answered every outcome that it did not know with 503, which promises that the job never runs: also GONE, QUEUED, RUNNING and CANCELLED. No submission is answered with one of these today, but the first decision to do so would have made a promise about a job that ran.

Change: 503 for NOT_READY and UNSUPPORTED, 429 for REFUSED, 504 for whatever else does not say that the job is accepted or has ended. All outcomes were checked. For a submission, NOT_READY is given before an owner has taken the job, or when the store has certainly not written it; its other meaning belongs to requests for the state and cancellations.

The test now goes through all outcomes instead of two. It failed before: .venv/bin/python -m pytest tests/platform/test_decoding.py -k status_codes listed GONE and CANCELLED among the outcomes answered with 503.

--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -187,8 +187,14 @@
 
 def test_status_codes_tell_whether_a_job_may_run():
     """429 and 503 state that a job will not run; 504 states that it may."""
-    assert jobs.submission_response(Outcome.UNDECIDED).status == 504
-    assert jobs.submission_response(Outcome.NOT_READY).status == 503
+    by_status = {}
+    for outcome in Outcome:
+        status = jobs.submission_response(outcome).status
+        by_status.setdefault(status, set()).add(outcome)
+    assert by_status[503] == {Outcome.NOT_READY, Outcome.UNSUPPORTED}
+    assert by_status[429] == {Outcome.REFUSED}
+    assert by_status[200] == {Outcome.ACCEPTED, Outcome.SUCCEEDED, Outcome.FAILED}
+    assert Outcome.UNDECIDED in by_status[504]
     refused = jobs.submission_response(Outcome.REFUSED, 2.4)
     assert (refused.status, refused.headers) == (429, [("Retry-After", "2")])
     assert jobs.submission_response(Outcome.SUCCEEDED).body == b'{"state":"succeeded"}'
--- a/turmericknot/platform/jobs.py
+++ b/turmericknot/platform/jobs.py
@@ -149,16 +149,20 @@
 
 
 def submission_response(outcome, retry_after=0.0):
-    """Return the Response to the submission of a job (POST)."""
+    """Return the Response to the submission of a job (POST).
+
+    429 and 503 promise that the job never runs, so only outcomes that carry this
+    promise are answered with them.
+    """
     if outcome is Outcome.ACCEPTED:
         return Response(200)
     if outcome in (Outcome.SUCCEEDED, Outcome.FAILED):
         return status_response(outcome)
     if outcome is Outcome.REFUSED:
         return Response(429, headers=_retry_after_header(retry_after))
-    if outcome is Outcome.UNDECIDED:
-        return Response(504)
-    return Response(503, headers=_retry_after_header(retry_after))
+    if outcome in (Outcome.NOT_READY, Outcome.UNSUPPORTED):
+        return Response(503, headers=_retry_after_header(retry_after))
+    return Response(504)
 
 
 def status_response(outcome):
--- a/turmericknot/scheduling/commands.py
+++ b/turmericknot/scheduling/commands.py
@@ -9,7 +9,8 @@
 
     ACCEPTED = 0  # the job is stored and will run
     REFUSED = 1  # the job is not stored and never runs; retry later
-    NOT_READY = 2  # as REFUSED, or no answer is possible at the moment
+    # A submission: as REFUSED. Other requests: no answer is possible at the moment.
+    NOT_READY = 2
     UNDECIDED = 3  # the job may be stored; retry with the same id
     UNSUPPORTED = 4  # the job is not stored; it needs an unsupported feature
     GONE = 5  # the job does not exist
