Ignore what the store answers after a shard was lost

What callers saw: a durable job that was answered with 200 was gone (410) or accepted a second time, or its tasks started twice.

Cause: a handover waits for the appends of the shard for 0.5 s at most. The append in flight goes on, and its outcome was acted on whoever owned the shard by then. record_not_stored removed whatever job had the id now, also one that this entry had stored under a later epoch. _acceptance_stored queued the tasks of a job that lose_shard had forgotten. They counted as waiting work for good, and once the entry had gained the shard again they started beside those of the job that it had loaded. The other callbacks acted on forgotten jobs and shards likewise.

Change: record_stored and record_not_stored get the command and the epoch under which it was written, and act only while the entry owns the shard under this epoch. Nothing is lost by that: lose_shard has answered all callers of the shard with UNDECIDED, and the next owner reads what is stored after it has fenced off the epoch. An epoch does not come back: an entry gains a shard again with a later generation only. A shard that is being handed over keeps its epoch, so its appends are answered as before. append.outdated tells that an outcome was ignored.

Evidence: with the callbacks called regardless of the epoch, as before, .venv/bin/python -m pytest tests/scheduling/test_stored.py -k late fails: each task of the job starts twice, and an accepted job is GONE.

--- a/tests/scheduling/fuzz/world.py
+++ b/tests/scheduling/fuzz/world.py
@@ -280,7 +280,7 @@
             entry.owner.ownership_confirmed_at = max(
                 entry.owner.ownership_confirmed_at, self.now
             )
-            job_requests.record_stored(entry.owner, command.token, self.now)
+            job_requests.record_stored(entry.owner, command, entry.epoch, self.now)
             runs.schedule_tasks(entry.owner, self.now)
             self.process_pending()
 
--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -387,7 +387,8 @@
         while entry.pending_records:
             commands, entry.pending_records = entry.pending_records, []
             for command in commands:
-                job_requests.record_stored(entry.owner, command.token, self.now)
+                epoch = entry.owner.shards[command.shard].epoch
+                job_requests.record_stored(entry.owner, command, epoch, self.now)
             runs.schedule_tasks(entry.owner, self.now)
             self.deliver_all()
 
--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -40,6 +40,12 @@
     site.advance(0.05)
 
 
+def submit_in_flight(site, entry):
+    """Submit a job; return the record of its acceptance, which is being stored."""
+    submit(site, entry)
+    return entry.pending_records.pop()
+
+
 def test_accepted_only_when_stored(owned_site):
     """An acceptance that a power loss could undo must not be answered."""
     entry = owned_site.entries["entry-0"]
@@ -63,10 +69,8 @@
 def test_refused_when_certainly_not_stored(owned_site):
     """A job whose record was not stored is refused, and must never run."""
     entry = owned_site.entries["entry-0"]
-    submit(owned_site, entry)
-    (command,) = entry.pending_records
-    entry.pending_records.clear()
-    job_requests.record_not_stored(entry.owner, command.token, owned_site.now)
+    command = submit_in_flight(owned_site, entry)
+    job_requests.record_not_stored(entry.owner, command, 1, owned_site.now)
     owned_site.advance(0.2)
     assert entry.answers == [("caller", Outcome.NOT_READY)]
     assert owned_site.running() == []
@@ -79,10 +83,8 @@
     A later owner would not wait for an agent that it does not know.
     """
     entry = owned_site.entries["entry-0"]
-    submit(owned_site, entry)
-    (command,) = entry.pending_records
-    entry.pending_records.clear()
-    job_requests.record_stored(entry.owner, command.token, owned_site.now)
+    command = submit_in_flight(owned_site, entry)
+    job_requests.record_stored(entry.owner, command, 1, owned_site.now)
     owned_site.advance(0.05)
     assert owned_site.running() == []
     assert {c.key for c in entry.pending_records} == {
@@ -178,6 +180,44 @@
     assert not any(view.tasks for view in adopted)
 
 
+def test_late_append_of_a_lost_shard_starts_nothing(owned_site):
+    """A task must not start twice, for a forgotten job and for the stored one."""
+    entry = owned_site.entries["entry-0"]
+    command = submit_in_flight(owned_site, entry)
+    entry.owner.shards[SHARD].usable_agents = set(owned_site.agents)
+    items = stored_items(entry)
+    ownership.lose_shard(entry.owner, SHARD, "handover", owned_site.now)
+    job_requests.record_stored(entry.owner, command, 1, owned_site.now)
+    gain_shard(owned_site, entry, SHARD, 2, items)
+    owned_site.advance(0.5)
+    assert entry.answers == [("caller", Outcome.UNDECIDED)]
+    assert [len(a.worker.started) for a in owned_site.agents.values()] == [1, 1]
+
+
+def test_late_refusal_of_a_lost_shard_withdraws_no_later_job(owned_site):
+    """An accepted job must not become unknown when an earlier append is refused."""
+    entry = owned_site.entries["entry-0"]
+    command = submit_in_flight(owned_site, entry)
+    ownership.lose_shard(entry.owner, SHARD, "handover", owned_site.now)
+    gain_shard(owned_site, entry, SHARD, 2)
+    submit(owned_site, entry, "again")
+    owned_site.store_records(entry)
+    job_requests.record_not_stored(entry.owner, command, 1, owned_site.now)
+    owned_site.deliver_all()
+    assert entry.answers[-1] == ("again", Outcome.ACCEPTED)
+    assert query_outcome(owned_site, entry) is Outcome.RUNNING
+
+
+def test_append_during_a_handover_is_answered(owned_site):
+    """A job that is stored while its shard is handed over must be acknowledged."""
+    entry = owned_site.entries["entry-0"]
+    command = submit_in_flight(owned_site, entry)
+    entry.owner.shards[SHARD].is_closing = True
+    job_requests.record_stored(entry.owner, command, 1, owned_site.now)
+    owned_site.deliver_all()
+    assert entry.answers == [("caller", Outcome.ACCEPTED)]
+
+
 def test_new_owner_receives_unacknowledged_ends(owned_site):
     """A task that ended under the previous owner must not start again."""
     first = owned_site.entries["entry-0"]
--- a/turmericknot/node/appender.py
+++ b/turmericknot/node/appender.py
@@ -180,7 +180,7 @@
             if job_requests.is_acceptance_token(command.token)
         ]
         if refused:
-            self._listener.on_not_written(refused)
+            self._listener.on_not_written(self, refused)
         return [
             command
             for command in batch
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -82,15 +82,16 @@
         owner.ownership_confirmed_at = max(owner.ownership_confirmed_at, sent_at)
         now = steady_time()
         for command in batch:
-            job_requests.record_stored(owner, command.token, now)
+            job_requests.record_stored(owner, command, appender.epoch, now)
         runs.schedule_tasks(owner, now)
         self._node.execute_commands()
 
-    def on_not_written(self, batch):
+    def on_not_written(self, appender, batch):
         """Handle records that are certainly not stored."""
+        owner = self._node.owner
         now = steady_time()
         for command in batch:
-            job_requests.record_not_stored(self._node.owner, command.token, now)
+            job_requests.record_not_stored(owner, command, appender.epoch, now)
         self._node.execute_commands()
 
     def on_undecided(self, batch):
@@ -236,7 +237,9 @@
             job_requests.is_acceptance_token(command.token)
             and not appender.is_store_available
         ):
-            job_requests.record_not_stored(self.owner, command.token, steady_time())
+            job_requests.record_not_stored(
+                self.owner, command, appender.epoch, steady_time()
+            )
             return
         appender.add_record(command)
 
--- a/turmericknot/scheduling/commands.py
+++ b/turmericknot/scheduling/commands.py
@@ -26,7 +26,7 @@
     """Append a record to a shard; an empty ``value`` deletes the key.
 
     The process calls ``job_requests.record_stored`` or ``record_not_stored`` with the
-    token.
+    command and the epoch under which it was written.
     """
 
     shard: int
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -230,27 +230,40 @@
     job.cancel_waiters = []
 
 
-def record_stored(owner, token, now):
-    """Continue after a record was stored."""
-    if token is not None:
-        function, subject = token
-        function(owner, subject, now)
+def record_stored(owner, command, epoch, now):
+    """Continue after a record was stored under an epoch of its shard."""
+    if command.token is None or not _is_owned(owner, command, epoch):
+        return
+    function, subject = command.token
+    function(owner, subject, now)
 
 
-def record_not_stored(owner, token, now):
+def record_not_stored(owner, command, epoch, now):
     """Withdraw a job whose record was certainly not stored."""
-    if token is None or token[0] is not _acceptance_stored:
+    if not is_acceptance_token(command.token) or not _is_owned(owner, command, epoch):
         return
-    job = token[1]
-    shard = owner.shards.get(job.shard)
-    if shard is not None:
-        shard.jobs.pop(job.id, None)
+    job = command.token[1]
+    owner.shards[job.shard].jobs.pop(job.id, None)
     for waiter in job.waiters:
         answer(owner, waiter, Outcome.NOT_READY, 1.0, "store_unavailable")
     for waiter in job.cancel_waiters:
         answer(owner, waiter, Outcome.GONE)
 
 
+def _is_owned(owner, command, epoch):
+    """Return whether the entry still owns the shard of a record under this epoch.
+
+    The store may answer an append after the shard was lost. Its jobs are forgotten and
+    their callers told to ask again. If the entry has gained the shard again since, the
+    jobs that it has there now come from the store.
+    """
+    shard = owner.shards.get(command.shard)
+    if shard is not None and shard.epoch == epoch:
+        return True
+    log(owner, "append.outdated", shard=command.shard, epoch=epoch, key=command.key)
+    return False
+
+
 def is_acceptance_token(token):
     """Return whether the token belongs to the record that accepts a job."""
     return token is not None and token[0] is _acceptance_stored
