Load a shard again if another entry owned it during the load

What callers would see: 410 for a durable job that was accepted. It was not seen on a site; it was found on paper while looking for owners that refuse what another owner has accepted.

Cause: joins go on while a shard is loaded. If the group takes the shard away meanwhile and gives it back, another entry may own it in between. _fence_and_load then served the records it had read before that, under an epoch that had been fenced off. The check of retained shards after a change of the group knows only shards that are loaded, so that nothing noticed until the next append or the next change of the group. It needs a load longer than two joins: a slow store, or many pages.

Change: if the generation is another one when the records are read, the epoch is set once more. The store refuses it if another owner has set a higher one, and the next join starts the load again. A change after this finds the shard among the retained ones.

Evidence: .venv/bin/python -m pytest tests/node/test_membership.py failed before (gained with epoch 1, without the record that the owner in between had written) and passes.

--- a/turmericknot/node/membership.py
+++ b/turmericknot/node/membership.py
@@ -187,7 +187,11 @@
             del self._takeovers[shard]
 
     async def _fence_and_load(self, shard):
-        """Fence off the previous owner, then load the jobs of the shard."""
+        """Fence off the previous owner, then load the jobs of the shard.
+
+        If the group changes meanwhile, another entry may have owned the shard since the
+        records were read; it has then fenced off this epoch.
+        """
         node = self._node
         epoch = self._generation
         partition = self._store.shard_partition(shard, self._shard_count)
@@ -196,6 +200,10 @@
         )
         await appender.fence()
         _, records = await self._store.read_newest(JOBS_TOPIC, partition)
+        confirmed_generation = epoch
+        while confirmed_generation != self._generation:
+            confirmed_generation = self._generation
+            await appender.fence()
         now = steady_time()
         if self._is_leaving:
             return
