Blame no task for a crash if its start may have reached the next process

Cause: a worker that restarts under its id answers starts before it reports. Such a start is confirmed, and its run goes on. When the report comes, the crash of the former process was held against the task, as the first of the two that it may have as a suspect.

Change: if the next process has the same id, no list has shown the run and no connection was refused since the last answer, the crash counts as one that the task may not have been under. A deadly task is blamed as before: its worker refuses connections until its next process is up.

--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -352,6 +352,20 @@
     assert entry.owner.crash_history.count(DEADLY_TASK) == 0
 
 
+def test_start_at_the_next_worker_process_is_not_held_against_its_task(create_site):
+    """A worker may restart under its id, and answer starts before it reports."""
+    site = create_site(agents=1)
+    entry, agent = site.entries["entry-0"], site.agents["agent-0"]
+    agent.born += 1
+    entry.submit_best_effort("caller", site.now, wait=60)
+    site.deliver_all()
+    agent.report(site.now)
+    site.advance(0.1)
+    assert len(site.running()) == 2
+    assert entry.owner.crash_history.is_suspect(DEADLY_TASK)
+    assert entry.owner.crash_history.count(DEADLY_TASK) == 0
+
+
 CRASHING_QUEUE, OTHER_QUEUE = "crashing", "other"
 
 
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -69,11 +69,11 @@
     )
 
 
-def report_crash(state, now, is_confirmed=True):
+def report_crash(state, now, is_confirmed=True, next_id=""):
     """Report to all entries that the present incarnation of the worker has crashed.
 
     Must be called before its runs are reported as lost. ``is_confirmed``: a later
-    incarnation has reported.
+    incarnation, with the id ``next_id``, has reported.
     """
     runs = _started_runs(state)[:MAX_REPORTED_TASKS]
     if not runs:
@@ -83,7 +83,11 @@
     for run in runs:
         # A start without an answer may have never arrived; a run that is being stopped
         # may have ended before the crash.
-        has_started = run.is_confirmed and not run.is_stopping
+        has_started = (
+            run.is_confirmed
+            and not run.is_stopping
+            and not _may_be_at_next_process(state, run, next_id)
+        )
         name = run.name
         rows.append(
             CrashedTask(
@@ -106,6 +110,19 @@
     )
 
 
+def _may_be_at_next_process(state, run, next_id):
+    """Return whether the worker's next process may have answered the start of a run.
+
+    It has the id that the call was meant for, no list has shown the run, and no
+    connection was refused since the last answer: after one, nothing starts.
+    """
+    return (
+        next_id == state.life.id
+        and not run.is_listed
+        and state.unreachable_since is None
+    )
+
+
 def _withdraw_crash(state, now):
     """Clear all tasks of a crash that has not happened: the worker was cut off."""
     _, crash = state.recent_crashes.get(state.life.key, (0.0, None))
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -236,7 +236,7 @@
         return False  # a delayed report of an earlier incarnation
     state.has_report = True
     if previous is not None and previous.usable:
-        worker_crashes.report_crash(state, now)
+        worker_crashes.report_crash(state, now, next_id=life.id)
     _end_life(state, "worker restarted", life.id)
     state.life = life
     raise_fence(state, now)
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -203,7 +203,7 @@
     """A task that had a run on a worker when it crashed.
 
     ``is_suspect``: its run had just started, so it may have crashed the worker.
-    ``has_started``: the run had certainly started, and was not being stopped.
+    ``has_started``: the run had certainly started there, and was not being stopped.
     """
 
     job: str
