Give up no task after two crashes if it had survived its starts

Cause: with no run on the worker that had just started, all runs there were suspects, and two crashes as a suspect give a task up. The agent knows these runs from the last list.

Change: such a crash is one of three, no longer one of two. The task starts alone as before; the record of a durable job stores such a task as no suspect, so that a later owner counts alike.

--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -352,6 +352,37 @@
     assert entry.owner.crash_history.count(DEADLY_TASK) == 0
 
 
+def test_run_past_its_start_counts_as_one_of_three_crashes(deadly_site):
+    """It may have ended unseen before the crash; walks gave up innocent tasks."""
+    entry, agent = deadly_site.entries["entry-0"], deadly_site.agents["agent-0"]
+    leave_one_agent(deadly_site, entry)
+    agent.deadly_tasks.clear()
+    job_record = create_job_record(tasks=1)
+    entry.submit_best_effort("caller", deadly_site.now, job_record=job_record, wait=60)
+    for _ in range(3):
+        assert not entry.answers
+        deadly_site.advance(0.5)
+        assert deadly_site.running()
+        agent.crash(deadly_site.now)
+        deadly_site.advance(4.0)
+        assert entry.owner.crash_history.is_suspect(DEADLY_TASK)
+    assert entry.answers == [("caller", Outcome.FAILED)]
+
+
+def test_later_owner_counts_a_run_past_its_start_alike(deadly_site):
+    entry = deadly_site.entries["entry-0"]
+    gain_shard(deadly_site, entry, SHARD, 1)
+    submit(deadly_site, entry, job_record=create_job_record(tasks=1))
+    for agent in deadly_site.agents.values():
+        agent.deadly_tasks.clear()
+    advance_storing(deadly_site, entry, 0.5)
+    [(name, _)] = deadly_site.running()
+    deadly_site.agents[name].crash(deadly_site.now)
+    advance_storing(deadly_site, entry, 4.0)
+    [crash] = entry.owner.shards[SHARD].jobs[JOB_ID].record.crashed_runs
+    assert crash.has_started and crash.is_confirmed and not crash.is_suspect
+
+
 def test_start_at_the_next_worker_process_is_not_held_against_its_task(create_site):
     """A worker may restart under its id, and answer starts before it reports."""
     site = create_site(agents=1)
--- a/turmericknot/scheduling/crash_reports.py
+++ b/turmericknot/scheduling/crash_reports.py
@@ -48,7 +48,13 @@
     key = (task.job, task.step, task.index)
     if report.is_withdrawn:
         return owner.crash_history.withdraw(key, report.life)
-    crash = Crash(task.is_suspect, task.has_started, report.is_confirmed, reported_at)
+    crash = Crash(
+        task.is_suspect,
+        task.has_started,
+        report.is_confirmed,
+        reported_at,
+        task.has_survived_start,
+    )
     return owner.crash_history.record(key, report.life, crash)
 
 
@@ -59,7 +65,10 @@
         run for run in job.record.crashed_runs if (run.step, run.index, run.life) != key
     ]
     if not report.is_withdrawn:
-        run = CrashedRun(*key, task.is_suspect, task.has_started, report.is_confirmed)
+        # A later owner counts the crash alike. It learns from agents alone that the
+        # task must not start beside others.
+        is_suspect = task.is_suspect and not task.has_survived_start
+        run = CrashedRun(*key, is_suspect, task.has_started, report.is_confirmed)
         job.record.crashed_runs.append(run)
 
 
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -97,6 +97,7 @@
                 run in suspects,
                 has_started,
                 run.queue,
+                _has_survived_start(state, run),
             )
         )
     _report(state, WorkerCrashed(state.life.key, rows, is_confirmed), now)
@@ -162,12 +163,16 @@
     ``SUSPECT_AGE_S`` then are innocent, unless there are no others. A task that may
     have crashed a worker before is the only suspect, if it has certainly started.
     """
-    started_after = state.answered_at - SUSPECT_AGE_S
-    recent = [run for run in runs if run.start_sent_at >= started_after]
+    recent = [run for run in runs if not _has_survived_start(state, run)]
     known_suspects = [run for run in recent if run.is_suspect and run.is_confirmed]
     return known_suspects or recent or runs
 
 
+def _has_survived_start(state, run):
+    """Return whether the worker answered after a task would have crashed it."""
+    return run.start_sent_at < state.answered_at - SUSPECT_AGE_S
+
+
 def _describe_runs(runs, now):
     """Return ``job/step.index:run@age`` of the runs.
 
--- a/turmericknot/wire/shard_messages.py
+++ b/turmericknot/wire/shard_messages.py
@@ -202,7 +202,8 @@
 class CrashedTask(msgspec.Struct, array_like=True, frozen=True):
     """A task that had a run on a worker when it crashed.
 
-    ``is_suspect``: its run had just started, so it may have crashed the worker.
+    ``is_suspect``: it may have crashed the worker, since its run had just started or no
+    other one had. ``has_survived_start``: the run had started some time before.
     ``has_started``: the run had certainly started there, and was not being stopped.
     """
 
@@ -212,6 +213,7 @@
     is_suspect: bool
     has_started: bool
     queue: str = ""
+    has_survived_start: bool = False
 
 
 class WorkerCrashed(Message, tag=80):
