Hold a crash against a task that was stopped only after it

What was seen: test_task_that_crashes_its_workers_is_given_up counted 3 crashes in place of 2, on a machine with a load of 15: once in a run of tests/node, then in 3 of 72 runs with three copies at a time.

Cause, from the log of one of them: the worker crashed at 21.569 s and accepted no connection at 21.581; at 21.683 the owner's grant was about to end, and the agent sent its run a stop, in vain. When the next process reported, the run was 'being stopped', so that the crash counted as one that the task may not have been under.

Change: a stop excuses a run only if it was sent while the worker could be reached. test_stop_after_the_crash_does_not_excuse_the_task failed before and passes.

--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -352,6 +352,22 @@
     assert entry.owner.crash_history.count(DEADLY_TASK) == 0
 
 
+def test_stop_after_the_crash_does_not_excuse_the_task(deadly_site):
+    """A deadly task crashed a third worker after its owner's grant had ended."""
+    entry = deadly_site.entries["entry-0"]
+    agent = deadly_site.agents["agent-0"]
+    leave_one_agent(deadly_site, entry)
+    agent.deadly_tasks.clear()
+    entry.submit_best_effort("caller", deadly_site.now, wait=60)
+    deadly_site.deliver_all()
+    agent.crash(deadly_site.now)
+    deadly_site.advance(0.1)
+    for run in agent.state.runs.values():
+        worker_runs.stop_run(agent.state, run, deadly_site.now)
+    deadly_site.advance(4.0)
+    assert entry.owner.crash_history.count(DEADLY_TASK) == 1
+
+
 def test_run_past_its_start_counts_as_one_of_three_crashes(deadly_site):
     """It may have ended unseen before the crash; walks gave up innocent tasks."""
     entry, agent = deadly_site.entries["entry-0"], deadly_site.agents["agent-0"]
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -81,11 +81,11 @@
     suspects = _find_suspects(state, runs)
     rows = []
     for run in runs:
-        # A start without an answer may have never arrived; a run that is being stopped
+        # A start without an answer may have never arrived; a run that was being stopped
         # may have ended before the crash.
         has_started = (
             run.is_confirmed
-            and not run.is_stopping
+            and not _was_stopping(state, run)
             and not _may_be_at_next_process(state, run, next_id)
         )
         name = run.name
@@ -111,6 +111,14 @@
     )
 
 
+def _was_stopping(state, run):
+    """Return whether the run was being stopped when the worker was last reachable."""
+    return run.is_stopping and (
+        state.unreachable_since is None
+        or run.first_stop_sent_at < state.unreachable_since
+    )
+
+
 def _may_be_at_next_process(state, run, next_id):
     """Return whether the worker's next process may have answered the start of a run.
 
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -322,7 +322,9 @@
 
 def stop_run(state, run, now):
     """Add a command that stops a run on the worker."""
-    run.is_stopping = True
+    if not run.is_stopping:
+        run.is_stopping = True
+        run.first_stop_sent_at = now
     run.stop_sent_at = now
     state.commands.append(StopCall(run.name, state.fence, state.life))
 
--- a/turmericknot/scheduling/worker_types.py
+++ b/turmericknot/scheduling/worker_types.py
@@ -73,6 +73,7 @@
     # An earlier incarnation of the worker that may have begun the run; empty if none.
     former_life: str = ""
     is_stopping: bool = False
+    first_stop_sent_at: float = 0.0
     stop_sent_at: float = 0.0
     is_inherited: bool = False  # listed, but unknown to this agent process
     pending_start: object = None  # RunStart of a run that is still queued
