Check in walks that no task of a rejected job has started

The walks did not report it.

Cause: the oracle looked at refusals only when a run started, and only for durable jobs. The walks had the conditions.

Change: a job is rejected if all attempts to submit it were answered, and all answers are 429 or 503 as the platform sends them. The check is made at each start and at each answer, for all jobs.

--- a/tests/scheduling/fuzz/knockouts.py
+++ b/tests/scheduling/fuzz/knockouts.py
@@ -141,6 +141,19 @@
     patch(runs, "send_stop", lambda *arguments: None)
 
 
+def refuse_runs_of_a_former_process(patch):
+    """A start that a former process of the worker may have begun counts as refused."""
+    check_unlisted_run = worker_lists._check_unlisted_run
+
+    def check_as_of_the_present_process(state, run, call):
+        if run.former_life and not run.is_confirmed and call.fence > run.fence:
+            worker_starts.start_refused(state, run.name, "restarted")
+        else:
+            check_unlisted_run(state, run, call)
+
+    patch(worker_lists, "_check_unlisted_run", check_as_of_the_present_process)
+
+
 KNOCKOUTS = {
     function.__name__: function
     for function in (
@@ -156,5 +169,6 @@
         start_under_any_lease,
         start_under_the_previous_grant,
         give_up_queued_runs_silently,
+        refuse_runs_of_a_former_process,
     )
 }
--- a/tests/scheduling/fuzz/oracle.py
+++ b/tests/scheduling/fuzz/oracle.py
@@ -2,10 +2,12 @@
 
 from dataclasses import dataclass, field
 
+from turmericknot.platform.jobs import submission_response
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.jobs import RunEnd
 
 MAX_VISIBILITY_DELAY_S = 3.0  # the platform's limit
+REJECTION_STATUSES = (429, 503)  # the job was not accepted and never runs
 
 
 class InvariantViolation(AssertionError):
@@ -31,11 +33,23 @@
     is_durable: bool
     answers: list = field(default_factory=list)  # outcomes of the submit attempts
     attempt_count: int = 0
+    has_begun: bool = False  # a worker has started a task of the job
     accepted_at: float = 0.0
     cancel_count: int = 0  # requests to cancel the job
     is_cancel_acknowledged: bool = False
     completed_tasks: set = field(default_factory=set)  # (step, index)
 
+    @property
+    def is_rejected(self):
+        """Return whether all attempts were answered, and all answers are rejections.
+
+        An attempt without an answer, as after a disconnect, is not rejected.
+        """
+        return 0 < self.attempt_count == len(self.answers) and all(
+            submission_response(answer).status in REJECTION_STATUSES
+            for answer in self.answers
+        )
+
 
 @dataclass(slots=True)
 class Oracle:
@@ -57,12 +71,8 @@
             )
         active_runs.add((worker, name.run))
         job = self.jobs[name.job]
-        refusal_outcomes = (Outcome.REFUSED, Outcome.NOT_READY)
-        if job.attempt_count and len(job.answers) == job.attempt_count:
-            if job.is_durable and all(
-                answer in refusal_outcomes for answer in job.answers
-            ):
-                raise InvariantViolation(f"{task} started, but its job was refused")
+        job.has_begun = True
+        self._check_rejection(name.job)
         if not job.is_durable:
             return
         if job.is_cancel_acknowledged and not is_delayed:
@@ -109,9 +119,16 @@
         if outcome is Outcome.ACCEPTED and outcome not in job.answers:
             job.accepted_at = now
         job.answers.append(outcome)
+        self._check_rejection(job_id)
         if outcome is Outcome.SUCCEEDED:
             self._check_all_tasks_done(job_id)
 
+    def _check_rejection(self, job_id):
+        """Check that no task of a job starts, before or after it is rejected."""
+        job = self.jobs[job_id]
+        if job.has_begun and job.is_rejected:
+            raise InvariantViolation(f"a task of {job_id} started, but it was rejected")
+
     def check_shown_state(self, job_id, outcome, now):
         """Check the state of a job as shown by an entry.
 
--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -25,6 +25,7 @@
     "start_under_any_lease": 1005,
     "start_under_the_previous_grant": 21620,
     "give_up_queued_runs_silently": 10,
+    "refuse_runs_of_a_former_process": 97,
 }
 # Seeds of long walks that failed before a fault was fixed, and that fault.
 FAILED_WALKS = {
