Add walks with workers that are back right after they began a run

Change: a third kind of walk. A worker with a run that no list has shown crashes, and reports itself after 0, 0.1 or 0.4 s; urgent jobs fill all workers, jobs of low priority get too late beside them; more starts get no answer; rejected jobs are submitted again. The other two kinds replay the same walks as before.

--- a/tests/scheduling/fuzz/oracle.py
+++ b/tests/scheduling/fuzz/oracle.py
@@ -31,6 +31,8 @@
 
     task_count: int
     is_durable: bool
+    wait_s: float = 3.0  # how long the caller of a best-effort job waits
+    record_fields: dict = field(default_factory=dict)  # of create_job_record
     answers: list = field(default_factory=list)  # outcomes of the submit attempts
     attempt_count: int = 0
     has_begun: bool = False  # a worker has started a task of the job
--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -7,7 +7,7 @@
 
 from tests.scheduling.fuzz.knockouts import KNOCKOUTS
 from tests.scheduling.fuzz.oracle import InvariantViolation
-from tests.scheduling.fuzz.walk import UNREACHABLE_WORKERS, walk
+from tests.scheduling.fuzz.walk import RESTARTED_WORKERS, UNREACHABLE_WORKERS, walk
 
 STEPS = 120
 WALKS = 100
@@ -59,6 +59,12 @@
         walk(seed, STEPS, UNREACHABLE_WORKERS)
 
 
+def test_random_walks_with_restarted_workers():
+    """Guards against refusals of jobs that a former process of a worker has begun."""
+    for seed in range(WALKS):
+        walk(seed, STEPS, RESTARTED_WORKERS)
+
+
 @pytest.mark.parametrize("seed", FAILED_WALKS_WITH_UNREACHABLE_WORKERS)
 def test_previously_failed_walk_with_unreachable_workers_passes(seed):
     walk(seed, FAILED_WALKS_WITH_UNREACHABLE_WORKERS[seed], UNREACHABLE_WORKERS)
@@ -97,3 +103,4 @@
     for offset in range(int(os.environ["FUZZ_LONG"])):
         walk(seed + offset, 2 * STEPS)
         walk(seed + offset, 2 * STEPS, UNREACHABLE_WORKERS)
+        walk(seed + offset, 2 * STEPS, RESTARTED_WORKERS)
--- a/tests/scheduling/fuzz/walk.py
+++ b/tests/scheduling/fuzz/walk.py
@@ -3,6 +3,7 @@
 import random
 
 from tests.scheduling.fuzz.oracle import InvariantViolation
+from tests.scheduling.fuzz.worker_model import WORKER_CPU
 from tests.scheduling.fuzz.world import World
 from turmericknot.scheduling.commands import Outcome
 
@@ -196,6 +197,48 @@
 }
 
 
+def _submit_low_priority(world, rng):
+    if len(world.oracle.jobs) < MAX_JOBS:
+        wait_s = rng.choice((1.0, 3.0))
+        job_id = world.new_job(False, rng.randint(1, 3), wait_s, priority=1)
+        world.submit_best_effort(rng.choice(world.entries), job_id)
+
+
+def _submit_urgent(world, rng):
+    if len(world.oracle.jobs) < MAX_JOBS:
+        job_id = world.new_job(False, 3, 60.0, cpu=WORKER_CPU, estimate=2.0)
+        world.submit_best_effort(rng.choice(world.entries), job_id)
+
+
+def _resubmit_rejected(world, rng):
+    entry = rng.choice(world.entries)
+    jobs = [
+        job
+        for job, submission in world.oracle.jobs.items()
+        if submission.is_rejected and not submission.is_durable
+    ]
+    if jobs and entry.owner is not None:  # else the next action might submit it too
+        world.submit_best_effort(entry, rng.choice(jobs))
+
+
+def _restart_starting_worker(world, rng):
+    agents = [agent for agent in world.agents if agent.has_unlisted_runs]
+    if agents:
+        rng.choice(agents).crash_worker(world.now, rng.choice((0.0, 0.1, 0.4)))
+
+
+# Workers that are back at once, right after starts, beside jobs that get too late.
+RESTARTED_WORKERS = {
+    **ACTIONS,
+    _submit_low_priority: 10,
+    _submit_urgent: 4,
+    _resubmit_rejected: 3,
+    _restart_starting_worker: 8,
+    _crash_worker: 2,
+    _delay_starts: 4,
+}
+
+
 def walk(seed, steps, actions=ACTIONS):
     """Run a walk and return its world.
 
--- a/tests/scheduling/fuzz/worker_model.py
+++ b/tests/scheduling/fuzz/worker_model.py
@@ -205,6 +205,14 @@
     def _can_call(self, now):
         return self.is_worker_reachable and now >= self.worker_down_until
 
+    @property
+    def has_unlisted_runs(self):
+        """Return whether the agent has sent a start that no list has shown yet."""
+        return self.state is not None and any(
+            run.pending_start is None and not run.is_listed
+            for run in self.state.runs.values()
+        )
+
     def crash_worker(self, now, down_s):
         """Crash the worker; the next process reports itself after ``down_s``."""
         self.delayed_starts.clear()
--- a/tests/scheduling/fuzz/world.py
+++ b/tests/scheduling/fuzz/world.py
@@ -330,13 +330,14 @@
         if entry.is_paused:
             return  # the caller eventually gives up
         submission.attempt_count += 1
-        caller = Caller(job_id, entry.name, entry.boot_count, self.now + 3.0)
+        deadline_at = self.now + submission.wait_s
+        caller = Caller(job_id, entry.name, entry.boot_count, deadline_at)
         self.waiting_callers.append(caller)
         besteffort.run_job(
             entry.owner,
             entry.best_effort_shard,
             job_id,
-            create_job_record(tasks=submission.task_count),
+            create_job_record(submission.task_count, **submission.record_fields),
             ("wait", job_id, caller),
             caller.deadline_at,
             self.now,
@@ -356,10 +357,12 @@
         )
         runs.schedule_tasks(entry.owner, self.now)
 
-    def new_job(self, is_durable, task_count):
+    def new_job(self, is_durable, task_count, wait_s=3.0, **record_fields):
         self.last_id += 1
         job_id = f"{self.last_id:016x}"
-        self.oracle.jobs[job_id] = Submission(task_count, is_durable)
+        self.oracle.jobs[job_id] = Submission(
+            task_count, is_durable, wait_s, record_fields
+        )
         return job_id
 
     def query_state(self, entry, job_id):
