Add two failing walks: a task runs twice after a worker restarted

Cause of both: a worker restarts under its id, and its agent, which has no report of it yet, sends a start. The deadline of the start is one on the clock of the former process. The new process counts from 0, so for it the deadline is far ahead, and it applies its longest lease instead. Then the agent crashes, and nobody stops the run or raises the fence.

- 4716: a1 starts run 1 at 102.30, with a lease until 103.315, 1.0 s on a slow clock.
The grant of its owner, e2, would end it before 103.30, when _expire_agents gives the run up and run 2 starts at a2.
- 1355: the start is delayed from 110.95 to 113.65.
Its deadline, 6.84 on the clock of the former process, is not past on the new one (2.66), and the fence of the next agent process, which follows the new clock, is still below that of the start. e2 has given the run up at 112.25, and run 4 started at a1.

No caller was told that its job had not run.

--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -45,6 +45,12 @@
 # unseen, on a cut-off worker or beside a paused agent, before the worker crashed; the
 # crash counted against their tasks.
 FAILED_WALKS_WITH_UNREACHABLE_WORKERS = {1436: STEPS, 571087809: 2 * STEPS}
+# The same for walks with restarted workers. The start came after a restart that the
+# agent did not know of, so its deadline was one on the clock of the former process.
+FAILED_WALKS_WITH_RESTARTED_WORKERS = {
+    1355: "a late start was carried out after its owner had given up the run",
+    4716: "a run outlasted the grant of its owner, with the longest lease",
+}
 
 
 def test_random_walks():
@@ -70,6 +76,11 @@
     walk(seed, FAILED_WALKS_WITH_UNREACHABLE_WORKERS[seed], UNREACHABLE_WORKERS)
 
 
+@pytest.mark.parametrize("seed", FAILED_WALKS_WITH_RESTARTED_WORKERS)
+def test_previously_failed_walk_with_restarted_workers_passes(seed):
+    walk(seed, STEPS, RESTARTED_WORKERS)
+
+
 def test_every_knockout_has_a_walk():
     """Guards against a knockout that no walk is known to detect."""
     assert set(KNOCKOUT_WALKS) == set(KNOCKOUTS)
