Add a failing walk: a run that ended before a crash counts as crashed

Cause: run 4 of the task is done on a2 at 109.60, and the worker crashes before a list has shown the end. report_crash counts each confirmed run of the former process, this one as well. The crash of a1 under run 6 is then the second one, and the task is given up at 112.35.

--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -45,12 +45,14 @@
 # unseen, on a cut-off worker or beside a paused agent, before the worker crashed; the
 # crash counted against their tasks.
 FAILED_WALKS_WITH_UNREACHABLE_WORKERS = {1436: STEPS, 571087809: 2 * STEPS}
-# The same for walks with restarted workers. A start was sent after a restart that the
-# agent did not know of, with a fence and a deadline on the clock of the former process.
+# The same for walks with restarted workers. In the first three, a start was sent after
+# a restart that the agent did not know of, with a fence and a deadline on the clock of
+# the former process.
 FAILED_WALKS_WITH_RESTARTED_WORKERS = {
     1355: STEPS,  # it was carried out after its owner had given up the run
     4716: STEPS,  # its run outlasted the grant of its owner, with the longest lease
     31115: 2 * STEPS,  # it passed the lower fence of the next agent process
+    7434: 2 * STEPS,  # a crash counted against a task whose run had ended unseen
 }
 
 
