--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -7,7 +7,7 @@
 
 from tests.scheduling.fuzz.knockouts import KNOCKOUTS
 from tests.scheduling.fuzz.oracle import InvariantViolation
-from tests.scheduling.fuzz.walk import UNREACHABLE_WORKERS, walk
+from tests.scheduling.fuzz.walk import RESTARTED_WORKERS, UNREACHABLE_WORKERS, walk
 
 STEPS = 120
 WALKS = 100
@@ -25,6 +25,7 @@
     "start_under_any_lease": 1005,
     "start_under_the_previous_grant": 21620,
     "give_up_queued_runs_silently": 10,
+    "refuse_runs_of_a_former_process": 97,
 }
 # Seeds of long walks that failed before a fault was fixed, and that fault.
 FAILED_WALKS = {
@@ -39,6 +40,7 @@
     10547: "a crash was held against a task whose run had been stopped",
     21343: "the lease of a restarted worker followed the clock of its predecessor",
     3489: "an end from an earlier submission was applied to the current run",
+    36048: "a late start reached the next process of a worker, which has no fence",
 }
 # The same for walks with unreachable workers, with the number of steps. A task was
 # given up for two crashes, before one of which its run had ended unseen: on a cut-off
@@ -53,6 +55,15 @@
     2002191: 2 * STEPS,
     2000613: 2 * STEPS,
 }
+# The same for walks with restarted workers. In the first three, a start was sent after
+# a restart that the agent did not know of, with a fence and a deadline on the clock of
+# the former process.
+FAILED_WALKS_WITH_RESTARTED_WORKERS = {
+    1355: STEPS,  # it was carried out after its owner had given up the run
+    4716: STEPS,  # its run outlasted the grant of its owner, with the longest lease
+    31115: 2 * STEPS,  # it passed the lower fence of the next agent process
+    7434: 2 * STEPS,  # a crash counted against a task whose run had ended unseen
+}
 
 
 def test_random_walks():
@@ -67,11 +78,22 @@
         walk(seed, STEPS, UNREACHABLE_WORKERS)
 
 
+def test_random_walks_with_restarted_workers():
+    """Guards against refusals of jobs that a former process of a worker has begun."""
+    for seed in range(WALKS):
+        walk(seed, STEPS, RESTARTED_WORKERS)
+
+
 @pytest.mark.parametrize("seed", FAILED_WALKS_WITH_UNREACHABLE_WORKERS)
 def test_previously_failed_walk_with_unreachable_workers_passes(seed):
     walk(seed, FAILED_WALKS_WITH_UNREACHABLE_WORKERS[seed], UNREACHABLE_WORKERS)
 
 
+@pytest.mark.parametrize("seed", FAILED_WALKS_WITH_RESTARTED_WORKERS)
+def test_previously_failed_walk_with_restarted_workers_passes(seed):
+    walk(seed, FAILED_WALKS_WITH_RESTARTED_WORKERS[seed], RESTARTED_WORKERS)
+
+
 def test_every_knockout_has_a_walk():
     """Guards against a knockout that no walk is known to detect."""
     assert set(KNOCKOUT_WALKS) == set(KNOCKOUTS)
@@ -105,3 +127,4 @@
     for offset in range(int(os.environ["FUZZ_LONG"])):
         walk(seed + offset, 2 * STEPS)
         walk(seed + offset, 2 * STEPS, UNREACHABLE_WORKERS)
+        walk(seed + offset, 2 * STEPS, RESTARTED_WORKERS)
