Do not report a run as stopped before the runs are known

What would be seen: a task runs twice at once, or a cancellation is acknowledged while a task runs (TWICE, UNASKED).

An agent that was restarted gets its owner's grant, and a repeated stop, before the first list of its worker. It knew no run of that name and answered that it had stopped; the owner started the task elsewhere while the run went on.

Change: until the runs of earlier processes are known, a stop of a run that is not known is not answered.

--- a/turmericknot/scheduling/worker_starts.py
+++ b/turmericknot/scheduling/worker_starts.py
@@ -274,7 +274,11 @@
 
 
 def stop_runs(state, stream, request, now):
-    """Stop runs at the owner's request."""
+    """Stop runs at the owner's request.
+
+    Until the runs of earlier agent processes are known, a run that is not known may be
+    at work; its owner repeats the request.
+    """
     shard_grant = state.shards.get(request.shard)
     if (
         shard_grant is None
@@ -292,4 +296,7 @@
             stop_run(state, run, now)
             continue
         end = next((end for _, end in state.ends.values() if end.name == name), None)
-        report_end(state, request.shard, end or EndedRun(name, 0, RunEnd.STOPPED))
+        if end is not None:
+            report_end(state, request.shard, end)
+        elif state.is_synced:
+            report_end(state, request.shard, EndedRun(name, 0, RunEnd.STOPPED))
