--- a/tests/node/test_requests.py
+++ b/tests/node/test_requests.py
@@ -5,8 +5,12 @@
 
 import pytest
 
+from tests.scheduling.site import create_job_record
+from turmericknot.node.entry import AppendListener
 from turmericknot.node.requests import create_requests
-from turmericknot.scheduling.commands import Outcome
+from turmericknot.scheduling import job_requests, ownership
+from turmericknot.scheduling.commands import Outcome, StoreRecord
+from turmericknot.scheduling.owner import create_owner
 from turmericknot.wire.shard_messages import RequestOutcome
 
 STREAM = 1
@@ -54,3 +58,22 @@
 def test_refusal_does_not_answer_for_an_undecided_attempt(answers, expected):
     """The earlier attempt may be accepted after a later one was refused."""
     assert asyncio.run(submit(answers)).outcome is expected
+
+
+def test_answer_to_an_append_of_an_earlier_epoch_decides_nothing():
+    """The entry owns the shard again, and its jobs come from the store."""
+    owner = create_owner()
+    ownership.gain_shard(owner, 0, 2, [], 0.0)
+    record = create_job_record()
+    job_requests.submit_job(owner, 0, "00000000000000a1", record, "caller", 0.0)
+    (job,) = owner.shards[0].jobs.values()
+    batch = [c for c in owner.pop_commands() if isinstance(c, StoreRecord)]
+    node = SimpleNamespace(owner=owner, execute_commands=lambda: None)
+    listener = AppendListener(node)
+    former, present = SimpleNamespace(epoch=1), SimpleNamespace(epoch=2)
+    listener.on_not_written(former, batch)
+    listener.on_written(former, batch, 0.0)
+    assert owner.shards[0].jobs == {job.id: job}
+    assert not job.is_stored
+    listener.on_written(present, batch, 0.0)
+    assert job.is_stored
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,10 +4,12 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from turmericknot.aio.client import ClientResponse
 from turmericknot.core.exceptions import (
     MessageError,
     SettingsError,
     UnsupportedJob,
+    WorkerRefused,
     WorkerUnavailable,
 )
 from turmericknot.platform import (
@@ -248,3 +250,20 @@
     rows = [[n, f"00000000000000a1.0.0.{n}", 1, "done", ""] for n in range(1, ends + 1)]
     body = msgspec.json.encode({"clock_ms": 1, "running": [], "ended": rows})
     assert workers._decode_run_lists(body).has_more_ends is has_more_ends
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "reason"),
+    [
+        (400, b"", "malformed"),
+        (409, b'{"clock_ms":1,"reason":"room"}', "room"),
+        (409, b"", "unnamed"),
+    ],
+)
+def test_refusal_without_a_reason_is_not_taken_for_a_malformed_call(
+    status, body, reason
+):
+    """A malformed call has certainly started nothing, a conflict may name a run."""
+    with pytest.raises(WorkerRefused) as caught:
+        workers._raise_unless_accepted(ClientResponse(status, {}, body))
+    assert caught.value.reason == reason
--- a/turmericknot/node/requests.py
+++ b/turmericknot/node/requests.py
@@ -23,7 +23,7 @@
 ATTEMPT_TIMEOUT_S = 1.1  # after this time the owner's answer counts as lost
 RETRY_DELAY_S = 0.02
 # The reasons of an answer after which a later owner may decide otherwise.
-RETRY_REASONS = frozenset({"not_owner", "owner_changed", "link_lost"})
+_RETRY_REASONS = frozenset({"not_owner", "owner_changed", "link_lost"})
 # Outcomes that say that the job was not taken, but only by the attempt they answer.
 _NOT_TAKEN_OUTCOMES = frozenset({Outcome.REFUSED, Outcome.NOT_READY})
 
@@ -144,7 +144,7 @@
                 continue
             last_answer = answer
             is_undecided = is_undecided or answer.outcome is Outcome.UNDECIDED
-            if answer.reason not in RETRY_REASONS:
+            if answer.reason not in _RETRY_REASONS:
                 break
             self._node.membership.request_owner_refresh()
             await asyncio.sleep(RETRY_DELAY_S)
--- a/turmericknot/scheduling/jobs.py
+++ b/turmericknot/scheduling/jobs.py
@@ -196,12 +196,12 @@
 
     @property
     def may_have_started(self):
-        """Return whether it is not certain that no task of the job has started."""
+        """Return whether a task of the job may have started."""
         return self.possible_runs > 0
 
     @property
     def is_pending(self):
-        """Return whether probably no task of the job has started."""
+        """Return whether the job is likely to wait for its first start."""
         return self.possible_runs == self.doubtful_runs
 
     @property
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -105,7 +105,7 @@
         self.unreachable_since = None
         self.answered_at = now  # when the worker last answered a call
         self.recent_crashes = OrderedDict()  # life -> (time, WorkerCrashed)
-        self.refused_runs = OrderedDict()  # RunName -> reason, of starts that were sent
+        self.refused_runs = OrderedDict()  # RunName -> reason, the latest refused runs
         self.contradicted_refusals = 0  # refused runs that the worker has listed
         self.evacuation = evacuation.create_agent_evacuation()
         self.leave_notices = {}  # stream of an owner -> last LeaveNotice
@@ -354,7 +354,7 @@
 
 
 def remember_refusal(state, name, reason):
-    """Remember that a start was reported as refused after it had been decided."""
+    """Remember a run whose owner is told that it was refused."""
     state.refused_runs[name] = reason
     if len(state.refused_runs) > MAX_REFUSED_RUNS:
         state.refused_runs.popitem(last=False)
