--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -40,13 +40,13 @@
     10547: "a crash was held against a task whose run had been stopped",
     21343: "the lease of a restarted worker followed the clock of its predecessor",
     3489: "an end from an earlier submission was applied to the current run",
-    149: "a task of a durable job started after its end was acknowledged",
+    149: "an end was acknowledged while a previous owner could start the task",
     36048: "a late start reached the next process of a worker, which has no fence",
 }
 # The same for walks with unreachable workers, with the number of steps. A task was
 # given up for two crashes, before one of which its run had ended unseen: on a cut-off
 # worker, or just after the last list. In 2000613 a run at the next process of a worker
-# outlasts the grant of its owner; 411 is not traced.
+# outlasts the grant of its owner.
 FAILED_WALKS_WITH_UNREACHABLE_WORKERS = {
     1436: STEPS,
     571087809: 2 * STEPS,
