Review case 3: a job fails after crashes behind a cut (LOST)

Cause: report_crash() counts each run that the agent still knows, also after the worker's lease has ended it; after three such crashes the task is given up and its durable job stored as failed. The log of the owner: task.given_up crashes=3 suspected=0.

--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -19,6 +19,7 @@
 REPORT_RETRY_S = 0.3  # after a report without an answer, and while it is down
 MAX_LEASE_MS = 1000
 LEASE_CHECK_S = 0.01
+CUT_ANSWER_S = 60.0  # past the time-out of each call
 MAX_LISTED_ENDS = 500
 MEMORY_MB = 65536
 
@@ -52,6 +53,7 @@
         self.address = ""
         self.reports_address = ""
         self.is_up = False
+        self.is_cut = False  # nothing passes between the worker and its agent
         self._server = None
         self._reset()
 
@@ -95,7 +97,7 @@
         client = create_http_client(self.reports_address)
         while True:
             delay_s = REPORT_RETRY_S
-            if self.is_up:
+            if self.is_up and not self.is_cut:
                 target = f"/instances/{self.id}"
                 with contextlib.suppress(CallError):
                     await client.request("PUT", target, self._report(), timeout_s=1.0)
@@ -136,7 +138,29 @@
         await self.start()
         self.site.note(f"worker {self.id} is up")
 
+    def cut(self):
+        """Cut the worker off from its agent; it runs on."""
+        self.is_cut = True
+        self.site.note(f"worker {self.id} is cut off")
+
+    def crash_behind_cut(self):
+        """End the process and start the next one, unseen by the agent."""
+        for task, run in self.runs.items():
+            run.timer.cancel()
+            self.site.run_ended(run.row, task, "lost with its worker")
+        self.site.note(f"worker {self.id} crashes behind the cut")
+        self._reset()
+
+    async def end_cut(self):
+        """Let the next process, which knows no earlier connection, be reached."""
+        self._server.stop()
+        await self.start()
+        self.is_cut = False
+        self.site.note(f"the cut ends; worker {self.id} is up")
+
     async def _handle(self, request):
+        if self.is_cut:
+            await asyncio.sleep(CUT_ANSWER_S)
         if not self.is_up:
             return Response(503)
         if request.headers.get("x-turmericknot-expect-instance", self.id) != self.id:
