--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,5 @@
 # TROUBLE=0 plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}" PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:."
+review/build.sh || exit 2
 exec python3 -S review/2/case.py
--- a/review/common/site.py
+++ b/review/common/site.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 import msgspec
@@ -399,9 +400,13 @@
         async with asyncio.timeout(time_limit_s):
             return await play()
 
+    # The processes of the site are ended also when the script is.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(COULD_NOT_RUN))
     try:
         violations = asyncio.run(limited())
-    except (CouldNotRun, ConnectionEnded, OSError, TimeoutError) as error:
+    except Exception as error:
+        # Only a violation exits with 1; an error of the script says nothing of a rule.
+        traceback.print_exc()
         print(f"could not run: {error!r}")
         sys.exit(COULD_NOT_RUN)
     for text in violations:
