Refuse reports of workers that lack a field

Cause: the decoder declared only the fields that the product uses, some of them with defaults. A report without addr, zone, version and slots, which names no worker, passed for the report of the worker's next process. All runs of the worker were then reported as lost without waiting for its lease, and its own later reports were dropped as older.

Change: every field that a worker reports is declared and required, with its type and range; a draining worker has to say how much time is left.

--- a/tests/node/test_agent_calls.py
+++ b/tests/node/test_agent_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from turmericknot.core.exceptions import WorkerUnavailable
@@ -202,3 +203,28 @@
         assert 2 <= client.calls <= 6
 
     run_with_agent(test)
+
+
+def test_report_without_all_fields_does_not_replace_the_worker(run_with_agent):
+    """Guards against a malformed report that ends the runs of a worker at work."""
+
+    async def test(node):
+        request_start(node._runs)
+        worker, runs = node._runs.life.key, dict(node._runs.runs)
+        report = {
+            "service": "s",
+            "state": "ready",
+            "cold_left_ms": 0,
+            "capacity": {"cpu": 4000, "mem_mb": 1024, "gpu": 0},
+            "labels": [],
+            "clock_ms": 1000,
+            "seq": 1,
+            "born": 2,
+        }
+        body = msgspec.json.encode(report)
+        request = SimpleNamespace(method="PUT", path="/instances/i-other", body=body)
+        response = await node._handle_worker_report(request)
+        assert response.status == 400
+        assert (node._runs.life.key, node._runs.runs) == (worker, runs)
+
+    run_with_agent(test)
--- a/tests/platform/test_mutations.py
+++ b/tests/platform/test_mutations.py
@@ -23,7 +23,12 @@
 REPORT = {
     "service": "s",
     "addr": "10.0.0.1:80",
-    "state": "ready",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "draining",
+    "cold_left_ms": 0,
+    "remaining_ms": 1600,
     "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
     "labels": ["a", "r1-3"],
     "clock_ms": 482113,
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -1,6 +1,7 @@
 """Decodes the reports of workers and sends calls to the worker of an agent."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -42,22 +43,37 @@
 _REPORT_STATES = ("ready", "draining")
 
 
+# Larger numbers would overflow in conversions to seconds.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class _Capacity(msgspec.Struct):
-    cpu: int
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Count
+    mem_mb: _Count
+    gpu: _Count
 
 
 class _Report(msgspec.Struct):
+    """A worker's report about itself.
+
+    Fields that are not used are declared as well: a report that lacks one of them comes
+    from another writer and names no worker.
+    """
+
     service: str
+    addr: str
+    zone: str
+    version: str
+    slots: _Count
     state: str
     capacity: _Capacity
-    clock_ms: int
-    seq: int  # increases with each report since a start of the worker
-    labels: list[str] = []
-    born: int = 0  # start time of the worker in Unix milliseconds
-    cold_left_ms: float = 0.0  # how much longer it remains slow after its start
-    remaining_ms: object = None  # least time left to a draining worker
+    labels: list[str]
+    clock_ms: _Count
+    seq: _Count  # increases with each report since a start of the worker
+    born: _Count  # start time of the worker in Unix milliseconds
+    cold_left_ms: float  # how much longer it remains slow after its start
+    # Least time left to a draining worker; only such a worker reports it.
+    remaining_ms: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class _RefusalBody(msgspec.Struct):
@@ -270,6 +286,8 @@
         raise MessageError(f"report of {worker_id}: {error}") from error
     if report.state not in _REPORT_STATES:
         raise MessageError(f"report of {worker_id}: state {report.state!r}")
+    if report.state == "draining" and report.remaining_ms is msgspec.UNSET:
+        raise MessageError(f"report of {worker_id}: draining without a remaining time")
     return WorkerLife(
         id=worker_id,
         born=report.born,
@@ -288,11 +306,10 @@
 
 
 def _decode_leaves_at(report, now):
-    """Return when a draining worker leaves at the earliest, or None if unknown."""
-    remaining_ms = report.remaining_ms
-    if report.state != "draining" or not _is_integer(remaining_ms):
+    """Return when a draining worker leaves at the earliest, None for others."""
+    if report.state != "draining":
         return None
-    return now + max(0, remaining_ms) / 1000
+    return now + max(0, report.remaining_ms) / 1000
 
 
 def worker_id_from_path(path):
