Give runs without processors no weight in the mean run time

Cause: Places.drain_s() divides by the mean number of processors of the runs that have ended. While none of them had any, as after a restart beside such a load, each pass over the waiting tasks raised ZeroDivisionError. For a task without processors, near_start_s() divided by the processors of a rack alike, which are 0 once the rack has no usable worker.

Change: a run without processors frees no capacity and no longer enters the mean, so the mean is unknown or has a positive weight. A rack without processors promises no place, whatever a task requests.

The other divisions in scheduling/ were read: none has a divisor that a valid job or worker makes 0.

--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -30,6 +30,18 @@
     assert entry.shard.jobs == {}
 
 
+def test_tasks_without_processors_are_served(site):
+    """Guards against an entry that ends: its only finished runs used no processors."""
+    entry = site.entries["entry-0"]
+    for number in range(3):
+        job_record = create_job_record(cpu=0)
+        entry.submit_best_effort(number, site.now, job_record=job_record)
+        site.deliver_all()
+        assert len(site.running()) == 2
+        end_all_runs(site)
+    assert entry.answers == [(number, Outcome.SUCCEEDED) for number in range(3)]
+
+
 def test_attempts_are_bounded(site):
     """A task that always fails must end its job instead of being retried forever."""
     entry = site.entries["entry-0"]
--- a/tests/scheduling/test_place_wait.py
+++ b/tests/scheduling/test_place_wait.py
@@ -43,8 +43,8 @@
     runs.schedule_tasks(owner, now)
 
 
-def submit(owner, job="a", tasks=1, priority=1, now=NOW):
-    step = StepSpec(tasks, cpu=1000, memory=1, estimate=0.1, data_rack="r0")
+def submit(owner, job="a", tasks=1, priority=1, now=NOW, cpu=1000):
+    step = StepSpec(tasks, cpu=cpu, memory=1, estimate=0.1, data_rack="r0")
     record = create_job_record(steps=[step], priority=priority)
     shard = next(iter(owner.shards.values()))
     besteffort.run_job(owner, shard, job, record, job, now + 9, now)
@@ -175,6 +175,26 @@
     assert near_start_s(use, 4000, 1000, 0.1) > 3 * one_of_ten
 
 
+@pytest.mark.parametrize("is_cut_off", [True, False])
+def test_task_without_processors_does_not_wait_for_a_lost_rack(owner, is_cut_off):
+    """Guards against an entry that ends: a rack without workers has no processors."""
+    if is_cut_off:
+        reports.agent_disconnected(owner, "near", NOW)
+    else:
+        reports.worker_changed(owner, "near", None, NOW)
+    submit(owner, cpu=0)
+    assert pop_started(owner)[0] == ["far"]
+
+
+def test_runs_without_processors_leave_the_mean_run_time(owner):
+    """Guards against a mean over runs that free no capacity when they end."""
+    owner.places.observe_run("s", 0, 5.0)
+    assert owner.places.drain_s("s") == 0.0
+    owner.places.observe_run("s", 1000, 0.2)
+    owner.places.observe_run("s", 0, 5.0)
+    assert owner.places.drain_s("s") == pytest.approx(0.2)
+
+
 @pytest.fixture(scope="module")
 def hot_rack():
     """Return a site at the crest, with 60% of the urgent queue on one rack of eight."""
--- a/turmericknot/scheduling/place_wait.py
+++ b/turmericknot/scheduling/place_wait.py
@@ -139,7 +139,7 @@
     places that it has of all runs, ``own_share``, so that all of them together do not
     wait for the same places.
     """
-    if use.cpu < cpu:
+    if not use.cpu or use.cpu < cpu:
         return math.inf
     queued_cpu = max(0, use.used_cpu - use.cpu)
     needed = queued_cpu + (ahead_cpu + cpu) / max(own_share, MIN_OWN_SHARE)
--- a/turmericknot/scheduling/places.py
+++ b/turmericknot/scheduling/places.py
@@ -82,7 +82,12 @@
         return mean[1] / mean[0] if mean else 0.0
 
     def observe_run(self, service, cpu, run_s):
-        """Update the mean run time, in which a worker's capacity becomes free once."""
+        """Update the mean run time, in which a worker's capacity becomes free once.
+
+        A run without processors frees none, and has no weight in the mean.
+        """
+        if not cpu:
+            return
         known_cpu, known_work = self._drain_s.get(service, (cpu, cpu * run_s))
         self._drain_s[service] = (
             known_cpu + NEWEST_RUN_WEIGHT * (cpu - known_cpu),
