Do not let jobs that cannot start hide all later ones

Cause: each pass over the waiting tasks ends after nine jobs for which it has found no worker. The limit is meant for full workers, but a job counted whatever it waited for, also in the pass over all jobs and agents. The same held behind jobs that wait for full workers with a label, for accelerators, for a service without workers, for their own limit of tasks on a worker, or for a worker larger than any; and behind a step of the same job.

Change: the waiting steps are divided into pools of those that compete for the same workers, and the limit holds for each pool. A job that no worker of the pass could run even if it were empty does not count. The pass over all jobs and agents, once a second, has no limit; so that it costs the same for any number of jobs, shapes without capacity are remembered within a pass. The ready steps of a job are tried one by one. A job that no usable worker fits is logged once.

--- a/tests/scheduling/test_placement_events.py
+++ b/tests/scheduling/test_placement_events.py
@@ -81,6 +81,18 @@
     assert 0 < costs[0] <= runs.MAX_SKIPPED_JOBS + 1
 
 
+def test_pass_over_a_full_fleet_costs_the_same_for_any_number_of_jobs(
+    create_full_fleet, monkeypatch
+):
+    """Guards against a full pass of jobs x agents of work at the peak."""
+    costs = []
+    for jobs in (30, 150):
+        owner = create_full_fleet(40, jobs)
+        full_pass = functools.partial(runs.schedule_tasks, owner, NOW + 2.0)
+        costs.append(count_examined_agents(owner, monkeypatch, full_pass))
+    assert 0 < costs[0] == costs[1] <= 40 + workers.AGENT_SAMPLE_SIZE
+
+
 def test_report_of_rising_usage_costs_nothing(create_full_fleet, monkeypatch):
     owner = create_full_fleet(40)
     report_usage(owner, "side-7", CPU - 500)
--- a/turmericknot/scheduling/offers.py
+++ b/turmericknot/scheduling/offers.py
@@ -12,6 +12,7 @@
     workers,
 )
 from .owner import log
+from .skips import ShapeSet
 
 # Jobs examined in one pass that wait for their rack and are not counted as skipped.
 MAX_EXAMINED_WAITS = 32
@@ -34,6 +35,8 @@
         "_racks",
         "_terms",
         "_examined_waits",
+        "_without_capacity",
+        "_unfitting",
     )
 
     def __init__(self, owner, agent_ids, is_recorded, now):
@@ -50,6 +53,8 @@
         self._racks = {}  # (service, rack) -> RackUse
         self._terms = (None, None)  # (job, step) and its Terms
         self._examined_waits = 0
+        self._without_capacity = ShapeSet()  # no agent has capacity for these
+        self._unfitting = ShapeSet()  # no worker fits these, even without other runs
 
     def order_jobs(self, jobs):
         """Return the jobs in the order in which they are offered the agents.
@@ -88,7 +93,11 @@
         its last attempt, in a pass over a few agents if one over all agents follows:
         the few are often just the worker whose capacity the failed run has freed.
         """
-        service = task.job.record.service
+        record = task.job.record
+        service, label = record.service, task.spec.required_label
+        shape_key = (shard.number, service, label, record.priority == 0, is_confined)
+        if self._without_capacity.contains(shape_key, task.spec):
+            return None
         if service not in self._cells:
             self._divide_agents(service)
         agents = self._candidates_of(shard)
@@ -107,12 +116,33 @@
             self._terms_of(task),
             near,
         )
+        if agent is None and not task.spec.max_per_worker:
+            self._without_capacity.add(shape_key, task.spec)
         is_offered_next = task.job.id in self._owner.placement_events.new_jobs
         if agent is None or not task.failures or not is_offered_next:
             return agent
         is_avoided = agent.id in doubtful or agent.id in task.avoided_agents
         return None if is_avoided else agent
 
+    def has_fitting_worker(self, task, shard=None):
+        """Return whether a worker of the offer could run the task if it were empty.
+
+        ``shard`` limits the workers to those that may get runs of the shard.
+        """
+        service, spec = task.job.record.service, task.spec
+        shape_key = (shard and shard.number, service, spec.required_label)
+        if self._unfitting.contains(shape_key, spec):
+            return False
+        agents = self._all_usable() if shard is None else self._candidates_of(shard)
+        is_any_fitting = any(
+            agent.worker.service == service
+            and workers.fits_empty_worker(agent.worker, spec)
+            for agent in agents
+        )
+        if not is_any_fitting:
+            self._unfitting.add(shape_key, spec)
+        return is_any_fitting
+
     def _doubtful_agents(self, task):
         """Return the ids of the agents whose workers should not get the last attempt.
 
@@ -128,16 +158,18 @@
             )
         return self._doubtful
 
-    def _candidates_of(self, shard):
-        owner = self._owner
+    def _all_usable(self):
         if self._usable_agents is None:
-            views = [owner.agents[agent_id] for agent_id in self._agent_ids]
+            views = [self._owner.agents[agent_id] for agent_id in self._agent_ids]
             self._usable_agents = [v for v in views if workers.is_usable(v, self._now)]
+        return self._usable_agents
+
+    def _candidates_of(self, shard):
         if shard.number not in self._candidates:
             self._candidates[shard.number] = [
                 agent
-                for agent in self._usable_agents
-                if self._is_recorded(owner, shard, agent)
+                for agent in self._all_usable()
+                if self._is_recorded(self._owner, shard, agent)
             ]
         return self._candidates[shard.number]
 
@@ -188,6 +220,18 @@
             self._terms = ((job, task.step), terms)
         return terms
 
+    def log_unfitting(self, task):
+        """Log that no usable worker could run the task even if it were empty."""
+        spec = task.spec
+        self._log_first(
+            "job.no_worker",
+            task,
+            label=spec.required_label,
+            cpu=spec.cpu,
+            memory=spec.memory,
+            accelerators=spec.accelerators,
+        )
+
     def pays_to_wait(self, task, agent):
         """Return whether the task waits for its rack instead of running at the agent.
 
@@ -212,7 +256,7 @@
         if remaining_s <= 0:
             if places.waits.end(task):
                 owner.count("place_waits_given_up")
-                self._log_once("place.given_up", task, wait, remaining_s)
+                self._log_wait("place.given_up", task, wait, remaining_s)
             return False
         if since is None:
             task.place_wait_since = self._now
@@ -220,7 +264,7 @@
         until = self._now + remaining_s
         if places.waits.extend(task, until, self._now):
             owner.placement_events.job_returns_at(task.job, until)
-        self._log_once("place.waited", task, wait, remaining_s)
+        self._log_wait("place.waited", task, wait, remaining_s)
         return True
 
     def _rack_use(self, task):
@@ -246,17 +290,11 @@
         run_s = owner.run_times.expected_run_s(task.job.record.queue, task.spec)
         return run_s * owner.places.distance(agent, task.spec) * agent.slowdown
 
-    def _log_once(self, event, task, wait, remaining_s):
-        """Log a decision with its inputs in ms, the first of its kind for the job."""
-        job = task.job
-        if event in job.logged_place_events:
-            return
-        job.logged_place_events = (*job.logged_place_events, event)
-        log(
-            self._owner,
+    def _log_wait(self, event, task, wait, remaining_s):
+        """Log a decision on a wait with its inputs in ms."""
+        self._log_first(
             event,
-            job=job.id,
-            task=f"{task.step}.{task.index}",
+            task,
             rack=task.spec.data_rack,
             near_start=_ms(wait.near_start_s),
             near_run=_ms(wait.near_run_s),
@@ -266,11 +304,46 @@
             remaining=_ms(remaining_s),
         )
 
+    def _log_first(self, event, task, **fields):
+        """Log the first event of its kind of the job."""
+        job = task.job
+        if event in job.logged_place_events:
+            return
+        job.logged_place_events = (*job.logged_place_events, event)
+        name = f"{task.step}.{task.index}"
+        log(self._owner, event, job=job.id, task=name, **fields)
+
 
 def _ms(seconds):
     return "never" if seconds == float("inf") else round(seconds * 1000)
 
 
+def log_started_tasks(owner, job, tasks, now):
+    """Log the runs that a job gets in one pass; ``runs`` lists task:run@agent.
+
+    ``near`` and ``far`` count those on and off the rack of their data.
+    """
+    fields = {}
+    with_data = [task for task in tasks if task.spec.data_rack]
+    if with_data:
+        far = sum(
+            placement.is_far(owner.agents[task.agent], task.spec) for task in with_data
+        )
+        fields = {"near": len(with_data) - far, "far": far}
+        for name, count in fields.items():
+            owner.count("started_" + name, count)
+    log(
+        owner,
+        "tasks.started",
+        job=job.id,
+        runs=",".join(
+            f"{task.step}.{task.index}:{task.run}@{task.agent}" for task in tasks
+        ),
+        waited=round(now - job.submitted_at, 3),
+        **fields,
+    )
+
+
 def create_offer(owner, agent_ids, is_recorded, now):
     """Return an offer of these agents.
 
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -4,7 +4,7 @@
 
 from turmericknot.wire.shard_messages import RunName, RunStart, StartRuns
 
-from . import besteffort, crash_reports, offers, pending, placement, quarantine, workers
+from . import besteffort, crash_reports, offers, pending, quarantine, workers
 from .commands import SendMessage, StoreRecord
 from .evacuation import log_empty_domains
 from .job_requests import acknowledge_cancel, finish_job
@@ -21,8 +21,10 @@
     store_job,
 )
 from .pending import demote_late_jobs, dequeue_task, enqueue_ready_steps, enqueue_task
+from .skips import create_skipped_jobs, pool_of, skip_known_job
 
-# Jobs that may be skipped for lack of capacity, in search of a smaller one.
+# Jobs of a pool that may be skipped for lack of capacity, in search of a smaller one. A
+# pass over all waiting jobs and agents has no such limit.
 MAX_SKIPPED_JOBS = 8
 # A run sent to a worker with free capacity only has to wait there if another owner used
 # that capacity at the same moment; other workers have free capacity as well.
@@ -71,44 +73,69 @@
     ``new_jobs`` limits the pass to these jobs and loses those that it has reached; None
     stands for all waiting jobs. ``starts`` collects the runs by agent and shard.
     """
-    skipped = 0
+    is_full_pass = new_jobs is None and agent_ids is owner.agents
+    skipped = create_skipped_jobs(None if is_full_pass else MAX_SKIPPED_JOBS)
     offer = offers.create_offer(owner, agent_ids, _ensure_agent_recorded, now)
     for job in offer.order_jobs(owner.waiting.jobs()):
-        if skipped > MAX_SKIPPED_JOBS:
+        if skipped.full_pool_count >= owner.waiting.pool_count:
             break
         shard = owner.shards.get(job.shard)
         if shard is None or shard.is_closing:
             continue
+        pools = {pool_of(job, step) for step in owner.waiting.steps(job)}
+        if all(skipped.is_full(pool) for pool in pools):
+            continue
         waits_for_place = offer.examine_wait(job)
         if new_jobs is not None and new_jobs.pop(job.id, None) is None:
             # No agent had capacity for it.
-            skipped += not (waits_for_place or pending.is_job_out_of_reach(owner, job))
+            if not waits_for_place:
+                skip_known_job(owner, offer, job, skipped)
             continue
-        started_tasks = []
-        is_confined = job.record.queue in owner.confined_queues
-        for task in list(owner.waiting.tasks(job)):
-            if fail_if_out_of_attempts(owner, task, now):
-                break
-            if owner.crash_history.is_suspect(task.key):
-                agent = _choose_agent_for_suspect(owner, shard, task, now)
-                if agent is not None:
-                    _start_task(owner, shard, agent, task, now, starts)
-                    started_tasks.append(task)
-                continue
-            task.suspect_since = None  # the crash has been withdrawn
-            if pending.is_out_of_reach(owner, task):
-                continue
-            agent = offer.choose_agent(shard, task, is_confined)
-            if agent is None:
+        unplaced, started = _start_job_tasks(owner, offer, shard, job, starts, now)
+        for task in unplaced:
+            if not offer.has_fitting_worker(task, shard):
+                if is_full_pass:
+                    offer.log_unfitting(task)
+            elif not waits_for_place and job.record.queue not in owner.confined_queues:
                 # A confined queue waits for its cell alone, others for their rack.
-                skipped += not (is_confined or waits_for_place)
+                skipped.count(pool_of(job, task.step))
+        if started:
+            offers.log_started_tasks(owner, job, started, now)
+
+
+def _start_job_tasks(owner, offer, shard, job, starts, now):
+    """Start the waiting tasks of a job for which the offer has an agent.
+
+    Return a task of each step for which it has none, and the tasks that were started.
+    """
+    unplaced_tasks = {}  # step -> its first task without an agent
+    started_tasks = []
+    is_confined = job.record.queue in owner.confined_queues
+    for task in list(owner.waiting.tasks(job)):
+        if task.step in unplaced_tasks:
+            continue
+        if fail_if_out_of_attempts(owner, task, now):
+            break
+        if owner.crash_history.is_suspect(task.key):
+            agent = _choose_agent_for_suspect(owner, shard, task, now)
+            if agent is not None:
+                _start_task(owner, shard, agent, task, now, starts)
+                started_tasks.append(task)
+            continue
+        task.suspect_since = None  # the crash has been withdrawn
+        if pending.is_out_of_reach(owner, task):
+            continue
+        agent = offer.choose_agent(shard, task, is_confined)
+        if agent is None:
+            unplaced_tasks[task.step] = task
+            if owner.waiting.steps(job) <= unplaced_tasks.keys():
                 break
-            if offer.pays_to_wait(task, agent):
-                continue
-            _start_task(owner, shard, agent, task, now, starts)
-            started_tasks.append(task)
-        if started_tasks:
-            _log_started_tasks(owner, job, started_tasks, now)
+            continue
+        if offer.pays_to_wait(task, agent):
+            continue
+        _start_task(owner, shard, agent, task, now, starts)
+        started_tasks.append(task)
+    return unplaced_tasks.values(), started_tasks
 
 
 def _choose_agent_for_suspect(owner, shard, task, now):
@@ -132,32 +159,6 @@
     return agent
 
 
-def _log_started_tasks(owner, job, tasks, now):
-    """Log the runs that a job gets in one pass; ``runs`` lists task:run@agent.
-
-    ``near`` and ``far`` count those on and off the rack of their data.
-    """
-    fields = {}
-    with_data = [task for task in tasks if task.spec.data_rack]
-    if with_data:
-        far = sum(
-            placement.is_far(owner.agents[task.agent], task.spec) for task in with_data
-        )
-        fields = {"near": len(with_data) - far, "far": far}
-        for name, count in fields.items():
-            owner.count("started_" + name, count)
-    log(
-        owner,
-        "tasks.started",
-        job=job.id,
-        runs=",".join(
-            f"{task.step}.{task.index}:{task.run}@{task.agent}" for task in tasks
-        ),
-        waited=round(now - job.submitted_at, 3),
-        **fields,
-    )
-
-
 def _ensure_agent_recorded(owner, shard, agent):
     """Return whether the agent may get runs of the shard; store its record if missing.
 
--- a/turmericknot/scheduling/waiting.py
+++ b/turmericknot/scheduling/waiting.py
@@ -3,23 +3,39 @@
 from bisect import bisect_left, insort
 
 from .jobs import TaskStatus
+from .skips import pool_of
 
 
 class WaitingJobs:
     """A list of (priority, is late, due time, number, job), sorted."""
 
-    __slots__ = ("_entries", "_keys", "_tasks", "_last_number", "_late_job_ids")
+    __slots__ = (
+        "_entries",
+        "_keys",
+        "_tasks",
+        "_steps",
+        "_pools",
+        "_last_number",
+        "_late_job_ids",
+    )
 
     def __init__(self):
         self._entries = []
         self._keys = {}  # job id -> key in the list
         self._tasks = {}  # job id -> waiting tasks, the next one last
+        self._steps = {}  # job id -> {step: number of its waiting tasks}
+        self._pools = {}  # pool -> number of steps with waiting tasks
         self._last_number = 0
         self._late_job_ids = set()  # ids of jobs that will miss their objective
 
     def __len__(self):
         return len(self._entries)
 
+    @property
+    def pool_count(self):
+        """Return the number of pools with waiting tasks."""
+        return len(self._pools)
+
     def add(self, task):
         """Add a waiting task."""
         job = task.job
@@ -27,7 +43,13 @@
         if tasks is None:
             self._insert(job)
             tasks = self._tasks[job.id] = []
+            self._steps[job.id] = {}
         tasks.append(task)
+        steps = self._steps[job.id]
+        steps[task.step] = steps.get(task.step, 0) + 1
+        if steps[task.step] == 1:
+            pool = pool_of(job, task.step)
+            self._pools[pool] = self._pools.get(pool, 0) + 1
 
     def _insert(self, job):
         self._last_number += 1
@@ -67,12 +89,21 @@
         """Return the waiting tasks of a job, the next one last."""
         return self._tasks.get(job.id, ())
 
+    def steps(self, job):
+        """Return the steps of a job that have waiting tasks."""
+        return self._steps.get(job.id, {}).keys()
+
     def remove(self, task):
         """Remove a task, if it is in the list."""
         tasks = self._tasks.get(task.job.id)
         if tasks is None or task not in tasks:
             return
         tasks.remove(task)
+        steps = self._steps[task.job.id]
+        steps[task.step] -= 1
+        if not steps[task.step]:
+            del steps[task.step]
+            self._leave_pool(pool_of(task.job, task.step))
         if not tasks:
             self.remove_job(task.job)
 
@@ -81,9 +112,16 @@
         tasks = self._tasks.pop(job.id, None)
         if tasks is None:
             return []
+        for step in self._steps.pop(job.id):
+            self._leave_pool(pool_of(job, step))
         self._delete_entry(job)
         return tasks
 
+    def _leave_pool(self, pool):
+        self._pools[pool] -= 1
+        if not self._pools[pool]:
+            del self._pools[pool]
+
 
 def create_waiting_jobs():
     """Return an empty list."""
