Answer a submission that raised an exception with 504

Cause: an exception behind the acceptance reached the HTTP server, which answers 500 and knows nothing of the job. The job stayed in the list with a caller that no longer waited.

Change: the entry answers 504, and ends a best-effort job whose submission has failed. The submission may be repeated.

--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -368,12 +368,17 @@
         if self._refuses_jobs:
             self.log.info("job.refused", job=job_id, reason="stopping")
             return platform_jobs.submission_response(Outcome.NOT_READY)
-        if not job.is_durable:
-            return await self._run_best_effort(job_id, job.record, request)
-        record = job.record
-        answer = await self.requests.submit(
-            shard, job_id, record, encode_record(record), timeout_s
-        )
+        try:
+            if not job.is_durable:
+                return await self._run_best_effort(job_id, job.record, request)
+            record = job.record
+            answer = await self.requests.submit(
+                shard, job_id, record, encode_record(record), timeout_s
+            )
+        except Exception:
+            # The job may have been accepted: the caller must not take it for refused.
+            self.log.exception("submit.failed", job=job_id)
+            return platform_jobs.submission_response(Outcome.UNDECIDED)
         if answer.outcome is not Outcome.ACCEPTED:
             self.log.info(
                 "submit.answered",
@@ -399,9 +404,15 @@
             self.execute_commands()
 
         request.close_callbacks.append(abandon_job)
-        besteffort.run_job(self.owner, shard, job_id, record, waiter, deadline_at, now)
-        runs.schedule_tasks(self.owner, now)
-        self.execute_commands()
+        try:
+            besteffort.run_job(
+                self.owner, shard, job_id, record, waiter, deadline_at, now
+            )
+            runs.schedule_tasks(self.owner, now)
+            self.execute_commands()
+        except Exception:
+            abandon_job()
+            raise
         answer = await waiter
         return platform_jobs.submission_response(answer.outcome, answer.retry_after)
 
