Do not refuse jobs because of work that no worker could run

Cause: the backlog that decides whether a new job comes too late counts all waiting tasks as served before it. Tasks of an evacuated domain and suspects were left out already, tasks without any worker were not.

Change: a task that no usable worker of its service could run, even if it were empty, adds nothing to the backlog. Changes of workers are noticed and the backlog is adjusted by the next tick. While no worker of the service is usable at all, as after a loss of power, everything counts as before.

--- a/tests/scheduling/test_skips.py
+++ b/tests/scheduling/test_skips.py
@@ -95,3 +95,24 @@
     lines = [c for c in owner.pop_commands() if isinstance(c, OwnerLogLine)]
     fields = [line.fields for line in lines if line.event == "job.no_worker"]
     assert [(line["job"], line["label"]) for line in fields] == [("j", "c")]
+
+
+def test_work_without_a_worker_refuses_no_other_jobs(owner):
+    """Guards against jobs that are refused beside idle workers for a lost one."""
+    step = StepSpec(1, cpu=1000, required_label="b", estimate=1.0)
+    for number in range(100):
+        submit(owner, f"w{number}", [step], 0, NOW + 0.1)
+    assert owner.backlog.core_seconds_before(0) > 50
+    reports.agent_disconnected(owner, "side-0", NOW + 0.2)
+    runs.tick(owner, NOW + 0.3)
+    assert owner.backlog.core_seconds_before(0) == pytest.approx(0.0)
+    shard = next(iter(owner.shards.values()))
+    record = create_job_record(steps=[PLAIN], priority=1)
+    besteffort.run_job(owner, shard, "plain", record, "caller", NOW + 9, NOW + 0.3)
+    runs.schedule_tasks(owner, NOW + 0.3)
+    assert has_run(owner, "plain")
+    worker = wire.WorkerReport("l@2", "s", True, CPU, 1 << 20, 0, ["b"])
+    hello = wire.AgentHello(1, "side-0", "b2", "d", worker)
+    reports.agent_connected(owner, hello, NOW + 0.4)
+    runs.tick(owner, NOW + 0.5)
+    assert owner.backlog.core_seconds_before(0) > 50
--- a/turmericknot/scheduling/evacuation.py
+++ b/turmericknot/scheduling/evacuation.py
@@ -52,7 +52,8 @@
         else:
             _take_back(owner, domain, now)
     if changed:
-        pending.reach_changed(owner)
+        pending.workers_changed(owner)
+        pending.update_backlog(owner)
     for view in owner.agents.values():
         if view.is_connected and (is_first_read or view.failure_domain in changed):
             _send_update(owner, view)
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -16,6 +16,7 @@
 from .placement_events import create_placement_events
 from .places import create_places
 from .waiting import create_waiting_jobs
+from .worker_fits import create_worker_fits
 from .worker_runs import GRANT_S
 
 # Each epoch has a range of run numbers above those of the previous owners.
@@ -94,6 +95,7 @@
         "backlog",
         "run_times",
         "evacuations",
+        "worker_fits",
         "crash_history",
         "confinement",
         "confined_queues",
@@ -124,6 +126,7 @@
         self.backlog = admission.Backlog()
         self.run_times = create_run_times()
         self.evacuations = evacuation.create_evacuations()
+        self.worker_fits = create_worker_fits()
         self.crash_history = create_crash_history()
         self.confinement = create_confinement()
         self.confined_queues = ()  # names of the queues that may use a cell only
--- a/turmericknot/scheduling/pending.py
+++ b/turmericknot/scheduling/pending.py
@@ -36,11 +36,15 @@
 def _backlog_work(owner, task):
     """Return the core-seconds of a task that others have to wait for.
 
-    A suspect waits for its turn in the quarantine, and a task out of reach for its
-    failure domain: the others do not wait for them.
+    A suspect waits for its turn in the quarantine, a task out of reach for its failure
+    domain, and one that no worker could run for another worker: the others do not wait
+    for them.
     """
     if owner.crash_history.is_suspect(task.key) or is_out_of_reach(owner, task):
         return 0.0
+    agents, service = owner.agents.values(), task.job.record.service
+    if owner.worker_fits.lacks_worker(agents, service, task.spec):
+        return 0.0
     return expected_work(task)
 
 
@@ -50,13 +54,7 @@
         return False
     known = owner.evacuations.out_of_reach
     service, spec = task.job.record.service, task.spec
-    shape = (
-        service,
-        spec.required_label,
-        spec.cpu,
-        spec.memory,
-        spec.accelerators,
-    )
+    shape = workers.shape_of(service, spec)
     if shape not in known:
         if len(known) >= MAX_KNOWN_SHAPES:
             known.clear()
@@ -71,9 +69,16 @@
     return bool(tasks) and is_out_of_reach(owner, tasks[-1])
 
 
-def reach_changed(owner):
-    """Adjust the backlog to a change of the evacuated failure domains."""
+def workers_changed(owner):
+    """Forget which tasks the workers could run; ``tick`` adjusts the backlog."""
     owner.evacuations.out_of_reach.clear()
+    owner.worker_fits.workers_changed()
+
+
+def update_backlog(owner):
+    """Adjust the backlog to workers that have changed since the last call."""
+    if not owner.worker_fits.pop_outdated():
+        return
     for job in owner.waiting.jobs():
         for task in owner.waiting.tasks(job):
             work = _backlog_work(owner, task)
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -26,7 +26,7 @@
     send_stop,
     stop_run,
 )
-from .pending import dequeue_task, enqueue_ready_steps
+from .pending import dequeue_task, enqueue_ready_steps, workers_changed
 from .runs import (
     end_recovery,
     fail_if_out_of_attempts,
@@ -96,6 +96,7 @@
     if view is not None:
         view.is_connected = False
         view.accepted_epochs.clear()
+        workers_changed(owner)
         _reconsider_place_waits(owner, view)
         log(owner, "agent.disconnected", agent=agent_id, runs=len(view.tasks))
 
@@ -107,7 +108,7 @@
         return
     previous, view.worker = view.worker, worker
     view.cold_until = now + worker.cold_s if worker is not None else 0.0
-    owner.evacuations.out_of_reach.clear()
+    workers_changed(owner)
     is_new_life = worker is None or previous is None or previous.life != worker.life
     if is_new_life:
         worker_standing.life_changed(view)
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -325,6 +325,7 @@
         _drop_expired_jobs(owner, shard, now)
     _repeat_stops(owner, now)
     demote_late_jobs(owner, now)
+    pending.update_backlog(owner)
     owner.places.refresh(owner.agents.values(), now)
     flush_deferred_acknowledgements(owner, now)
     schedule_tasks(owner, now)
--- a/turmericknot/scheduling/workers.py
+++ b/turmericknot/scheduling/workers.py
@@ -142,6 +142,17 @@
     )
 
 
+def shape_of(service, spec):
+    """Return what decides whether a task fits an empty worker."""
+    return (
+        service,
+        spec.required_label,
+        spec.cpu,
+        spec.memory,
+        spec.accelerators,
+    )
+
+
 def fits_only_evacuated(agents, service, spec):
     """Return whether all workers that a task could run on are evacuated."""
     is_any_fitting = False
