Do not hold a crash against a run that may have lapsed before it

Cause: a crash was held against every run that the agent knew when it noticed the crash. A worker without a lease ends its runs unseen before that.

Change: the agent records when a refused connection, or an answer of another process, first shows that the process has ended; a connection that is neither accepted nor refused shows nothing. A run past its start does not count if the lease of the worker's last answer had lapsed by then. Tasks that crash their workers at their start are given up as before.

--- a/tests/scheduling/site.py
+++ b/tests/scheduling/site.py
@@ -110,6 +110,7 @@
         self.crashes = []  # (time, names of the runs) of each crash of the worker
         self.crashes_at = None
         self.down_until = None
+        self.is_cut_off = False  # nothing passes between the agent and its worker
         self.born = 1
         self.leaves_at = None
         self.judges_worker = False
@@ -177,8 +178,10 @@
         self.unsent_messages = self.execute_calls(now)
         if call is None:
             return None
-        if self.down_until is not None:
-            self.has_changed |= worker_crashes.worker_unreachable(self.state, now)
+        if self.down_until is not None or self.is_cut_off:
+            self.has_changed |= worker_crashes.worker_unreachable(
+                self.state, now, is_silent=self.is_cut_off
+            )
             worker_lists.lease_renewal_not_sent(self.state, call)
             return call
         self._end_runs(now)
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -385,6 +385,43 @@
     assert entry.answers == [("caller", Outcome.FAILED)]
 
 
+def cut_off_and_crash(site, entry, is_noticed):
+    """Cut off the worker of the only run; crash it when the lease has ended the run."""
+    [(name, _)] = site.running()
+    agent = site.agents[name]
+    renew_lease = agent.renew_lease
+    if is_noticed:
+        agent.is_cut_off = True
+    else:
+        agent.renew_lease = lambda now: None  # connections open, calls get no answer
+    advance_storing(site, entry, 1.5)
+    agent.worker.running.clear()
+    agent.crash(site.now, down_s=1.0)
+    advance_storing(site, entry, 0.5)
+    agent.is_cut_off, agent.renew_lease = False, renew_lease
+    advance_storing(site, entry, 2.0)
+    assert agent.down_until is None
+
+
+@pytest.mark.parametrize("is_noticed", [True, False])
+def test_run_that_lapsed_before_a_crash_is_not_held_against_its_task(
+    deadly_site, is_noticed
+):
+    """Guards against a job that fails although no worker has crashed under its task."""
+    entry = deadly_site.entries["entry-0"]
+    gain_shard(deadly_site, entry, SHARD, 1)
+    submit(deadly_site, entry, job_record=create_job_record(tasks=1))
+    for agent in deadly_site.agents.values():
+        agent.deadly_tasks.clear()
+    for _ in range(5):
+        advance_storing(deadly_site, entry, 0.5)
+        cut_off_and_crash(deadly_site, entry, is_noticed)
+    job = entry.owner.shards[SHARD].jobs[JOB_ID]
+    assert job.published_state.name == "ACTIVE"
+    assert entry.owner.crash_history.count(DEADLY_TASK) == 0
+    assert not job.record.crashed_runs
+
+
 def test_later_owner_counts_a_run_past_its_start_alike(deadly_site):
     entry = deadly_site.entries["entry-0"]
     gain_shard(deadly_site, entry, SHARD, 1)
--- a/turmericknot/aio/client.py
+++ b/turmericknot/aio/client.py
@@ -10,7 +10,12 @@
 import httptools
 
 from turmericknot.core.addresses import split_address
-from turmericknot.core.exceptions import CallAnswerLost, CallNotSent, CallWithdrawn
+from turmericknot.core.exceptions import (
+    CallAnswerLost,
+    CallNotSent,
+    CallWithdrawn,
+    ConnectTimedOut,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 8
@@ -122,10 +127,10 @@
                 _, connection = await loop.create_connection(
                     lambda: _ClientConnection(self._address), self._host, self._port
                 )
-        except (OSError, TimeoutError) as error:
-            raise CallNotSent(
-                f"{self._address}: {error or 'connection timed out'}"
-            ) from error
+        except TimeoutError as error:
+            raise ConnectTimedOut(f"{self._address}: connection timed out") from error
+        except OSError as error:
+            raise CallNotSent(f"{self._address}: {error}") from error
         self._connections_opened += 1
         return connection
 
--- a/turmericknot/core/exceptions.py
+++ b/turmericknot/core/exceptions.py
@@ -105,6 +105,10 @@
     """The peer has certainly not received the call."""
 
 
+class ConnectTimedOut(CallNotSent):
+    """The peer neither accepted nor refused a connection; it may be cut off."""
+
+
 class CallWithdrawn(CallNotSent):
     """The caller no longer wanted the call when it could be sent."""
 
@@ -163,3 +167,10 @@
         super().__init__(f"worker refused: {reason}")
         self.reason = reason
         self.clock_ms = clock_ms
+
+
+class WorkerSilent(WorkerRefused):
+    """The worker neither accepted nor refused a connection; it may be cut off."""
+
+    def __init__(self):
+        super().__init__("unreachable")
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -11,6 +11,7 @@
     MessageError,
     StoreError,
     WorkerRefused,
+    WorkerSilent,
     WorkerUnavailable,
 )
 from turmericknot.core.ids import create_incarnation_id
@@ -399,7 +400,8 @@
         A later incarnation refuses calls that are meant for the one that is gone.
         """
         if error.reason in ("unreachable", "restarted"):
-            if worker_crashes.worker_unreachable(self._runs, steady_time()):
+            is_silent = isinstance(error, WorkerSilent)
+            if worker_crashes.worker_unreachable(self._runs, steady_time(), is_silent):
                 self._entries.send_worker_report()
                 worker_starts.start_queued_runs(self._runs, steady_time())
         elif error.reason != "no_grant":
--- a/turmericknot/platform/workers.py
+++ b/turmericknot/platform/workers.py
@@ -9,8 +9,10 @@
     CallAnswerLost,
     CallNotSent,
     CallWithdrawn,
+    ConnectTimedOut,
     MessageError,
     WorkerRefused,
+    WorkerSilent,
     WorkerUnavailable,
 )
 from turmericknot.scheduling.jobs import RunEnd
@@ -199,6 +201,8 @@
             )
         except CallWithdrawn as error:
             raise WorkerRefused("no_grant") from error
+        except ConnectTimedOut as error:
+            raise WorkerSilent from error
         except CallNotSent as error:
             raise WorkerRefused("unreachable") from error
         except CallAnswerLost as error:
--- a/turmericknot/scheduling/crash_history.py
+++ b/turmericknot/scheduling/crash_history.py
@@ -27,6 +27,14 @@
     reported_at: float = 0.0
     has_survived_start: bool = False  # the run had been at work for a while
 
+    @property
+    def may_count(self):
+        """Return whether the task may have been at work when the worker crashed.
+
+        A run that was past its start, and has ended before, tells nothing of its task.
+        """
+        return self.has_started or not self.has_survived_start
+
     @property
     def is_suspect_at_start(self):
         """Return whether the run may have crashed the worker by its start."""
@@ -81,9 +89,9 @@
 
     def is_hopeless(self, task_key):
         """Return whether no other worker may be risked for the task."""
-        crashes = self._crashes.get(task_key, ())
+        crashes = self._crashes.get(task_key, {}).values()
         return _is_limit_reached(self._certain(task_key)) or (
-            len(crashes) >= MAX_POSSIBLE_CRASHES
+            sum(crash.may_count for crash in crashes) >= MAX_POSSIBLE_CRASHES
         )
 
     def is_undecided(self, task_key, now):
--- a/turmericknot/scheduling/crash_reports.py
+++ b/turmericknot/scheduling/crash_reports.py
@@ -64,7 +64,8 @@
     job.record.crashed_runs = [
         run for run in job.record.crashed_runs if (run.step, run.index, run.life) != key
     ]
-    if not report.is_withdrawn:
+    may_count = task.has_started or not task.has_survived_start
+    if may_count and not report.is_withdrawn:
         # A later owner counts the crash alike. It learns from agents alone that the
         # task must not start beside others.
         is_suspect = task.is_suspect and not task.has_survived_start
--- a/turmericknot/scheduling/worker_crashes.py
+++ b/turmericknot/scheduling/worker_crashes.py
@@ -24,15 +24,20 @@
 MAX_LOGGED_RUNS = 40
 
 
-def worker_unreachable(state, now):
+def worker_unreachable(state, now, is_silent=False):
     """Handle a connection that the worker, on the same VM, did not accept.
 
     The process has crashed, is just starting, or is cut off. Until it answers, nothing
     starts there: a worker without runs would look like the best choice to every owner.
     A worker that was about to leave has left, so its tasks are not suspected.
+    ``is_silent``: the connection was not refused either, so the worker may be cut off.
     Return whether to notify the owners.
     """
-    if state.life is None or state.unreachable_since is not None:
+    if state.life is None:
+        return False
+    if not is_silent and state.gone_since is None:
+        state.gone_since = now
+    if state.unreachable_since is not None:
         return False
     state.unreachable_since = now
     _log(
@@ -53,7 +58,7 @@
     if state.unreachable_since is None or state.life is None:
         return False
     seconds = now - state.unreachable_since
-    state.unreachable_since = None
+    state.unreachable_since = state.gone_since = None
     _log(state, "worker.reachable", life=state.life.key, seconds=round(seconds, 3))
     _withdraw_crash(state, now)
     return True
@@ -82,10 +87,11 @@
     rows = []
     for run in runs:
         # A start without an answer may have never arrived; a run that was being stopped
-        # may have ended before the crash.
+        # or had no lease any more may have ended before the crash.
         has_started = (
             run.is_confirmed
             and not _was_stopping(state, run)
+            and not _may_have_lapsed(state, run, now)
             and not _may_be_at_next_process(state, run, next_id)
         )
         name = run.name
@@ -119,6 +125,18 @@
     )
 
 
+def _may_have_lapsed(state, run, now):
+    """Return whether the lease may have ended the run before the crash.
+
+    A worker that is cut off gets no lease. When its process ended is only known from a
+    refused connection; else it may have been just now. A task that crashes its worker
+    does so at its start, long before.
+    """
+    crashed_at = now if state.gone_since is None else state.gone_since
+    has_lease_ended = crashed_at > state.answered_lease_ends_at
+    return has_lease_ended and _has_survived_start(state, run)
+
+
 def _may_be_at_next_process(state, run, next_id):
     """Return whether the worker's next process may have answered the start of a run.
 
--- a/turmericknot/scheduling/worker_runs.py
+++ b/turmericknot/scheduling/worker_runs.py
@@ -62,6 +62,7 @@
         "has_report",
         "recalled_until",
         "unreachable_since",
+        "gone_since",
         "answered_at",
         "recent_crashes",
         "refused_runs",
@@ -103,6 +104,8 @@
         self.recalled_until = 0.0  # how long a recalled worker may be used
         # When the worker first did not accept a connection; None once it answers.
         self.unreachable_since = None
+        # When a refused connection first showed that its process has ended.
+        self.gone_since = None
         self.answered_at = now  # when the worker last answered a call
         self.recent_crashes = OrderedDict()  # life -> (time, WorkerCrashed)
         self.refused_runs = OrderedDict()  # RunName -> reason, the latest refused runs
@@ -135,6 +138,15 @@
         first = self.first_durable_end
         return self.last_listed_end if first is None else first - 1
 
+    @property
+    def answered_lease_ends_at(self):
+        """Return when the lease of the worker's last answer has lapsed, at the latest.
+
+        Calls without an answer may have prolonged it.
+        """
+        lease_s = self.lease_s * WORKER_CLOCK_ERROR_FACTOR
+        return self.answered_at + lease_s + LEASE_LAPSE_MARGIN_S
+
     @property
     def has_unanswered_starts(self):
         """Return whether a renewal can settle starts whose answers were lost."""
@@ -292,6 +304,7 @@
     state.last_forgotten_end = 0
     state.is_outdated = False
     state.unreachable_since = None
+    state.gone_since = None
     state.lease_until = 0.0
 
 
