Deny an unknown job only after the ownership has been confirmed

Cause: a job was denied while the last confirmation was younger than 1.4 s, a time derived from the membership's time-to-live, which the store does not wait for. An append of one shard counted as a confirmation of all, and a fence call that had failed after a change of the group was not repeated.

Change: an unknown job is denied once the store has confirmed the ownership of its shard by a call that was sent after the request had come; without one, the answer is 503 after a second. Confirmations are kept by shard. A retained shard is confirmed only after the fence call that verifies it, which the next join repeats if it fails. A shard lost during that call is not handed over again.

test_refused_when_certainly_not_stored asked for 410 without a confirmation since the refusal; it now confirms the ownership first, with the same check.

--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -74,6 +74,7 @@
     owned_site.advance(0.2)
     assert entry.answers == [("caller", Outcome.NOT_READY)]
     assert owned_site.running() == []
+    ownership.confirm_ownership(entry.owner, owned_site.now)
     assert query_outcome(owned_site, entry) is Outcome.GONE
 
 
@@ -315,6 +316,57 @@
     assert query_outcome(owned_site, entry) is Outcome.NOT_READY
 
 
+def cancel(site, entry, waiter="cancel"):
+    job_requests.cancel_job(entry.owner, SHARD, JOB_ID, waiter, site.now)
+    site.deliver_all()
+
+
+def test_unknown_job_is_denied_once_the_ownership_is_confirmed(owned_site):
+    """Guards against a cancellation acknowledged by an owner that is one no more."""
+    entry = owned_site.entries["entry-0"]
+    owned_site.now += 0.1
+    cancel(owned_site, entry)
+    ownership.confirm_ownership(entry.owner, owned_site.now - 0.05)
+    ownership.confirm_ownership(entry.owner, owned_site.now + 0.1, {SHARD})
+    owned_site.deliver_all()
+    assert entry.answers == []
+    ownership.confirm_ownership(entry.owner, owned_site.now + 0.1)
+    owned_site.deliver_all()
+    assert entry.answers == [("cancel", Outcome.GONE)]
+
+
+def test_request_about_an_unknown_job_ends_with_the_ownership(owned_site):
+    entry = owned_site.entries["entry-0"]
+    owned_site.now += 0.1
+    cancel(owned_site, entry)
+    ownership.lose_shard(entry.owner, SHARD, "fenced", owned_site.now)
+    owned_site.deliver_all()
+    assert entry.answers == [("cancel", Outcome.NOT_READY)]
+
+
+def test_request_about_an_unknown_job_does_not_wait_for_long(owned_site):
+    entry = owned_site.entries["entry-0"]
+    owned_site.now += 0.1
+    cancel(owned_site, entry)
+    owned_site.advance(entry.owner.times.denial_wait_s + 0.1)
+    assert entry.answers == [("cancel", Outcome.NOT_READY)]
+
+
+def test_job_accepted_while_its_cancellation_waits_is_cancelled(owned_site):
+    """Guards against a job that runs although its cancellation was acknowledged."""
+    entry = owned_site.entries["entry-0"]
+    owned_site.now += 0.1
+    cancel(owned_site, entry)
+    submit(owned_site, entry)
+    owned_site.store_records(entry)
+    ownership.confirm_ownership(entry.owner, owned_site.now + 0.1)
+    owned_site.deliver_all()
+    owned_site.store_records(entry)
+    owned_site.advance(0.5)
+    assert ("cancel", Outcome.CANCELLED) in entry.answers
+    assert owned_site.running() == []
+
+
 def test_unreadable_record_does_not_affect_other_jobs(owned_site):
     """A damaged record must not prevent the rest of its shard from being served."""
     second = owned_site.entries["entry-1"]
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -83,6 +83,9 @@
         now = steady_time()
         for command in batch:
             job_requests.record_stored(owner, command, appender.epoch, now)
+        shard = owner.shards.get(batch[0].shard)
+        if shard is not None and shard.epoch == appender.epoch:
+            job_requests.shard_confirmed(owner, shard, sent_at)
         runs.schedule_tasks(owner, now)
         self._node.execute_commands()
 
--- a/turmericknot/node/membership.py
+++ b/turmericknot/node/membership.py
@@ -31,6 +31,7 @@
         "_shard_count",
         "_generation",
         "_appender_by_shard",
+        "_unverified_shards",
         "_takeovers",
         "_owner_by_shard",
         "_owners_read_at",
@@ -47,6 +48,7 @@
         self._shard_count = shard_count
         self._generation = 0
         self._appender_by_shard = {}  # shard -> Appender
+        self._unverified_shards = set()  # another entry may have owned these meanwhile
         self._takeovers = {}  # shard -> Task
         self._owner_by_shard = {}  # shard -> member
         self._owners_read_at = 0.0
@@ -135,7 +137,8 @@
             if shard not in assigned_shards:
                 await self._hand_over(shard, "assigned to another entry")
         if is_changed:
-            await self._verify_retained_shards()
+            self._unverified_shards = set(self._appender_by_shard)
+        await self._verify_retained_shards()
         for shard in assigned_shards:
             if shard not in self._appender_by_shard and shard not in self._takeovers:
                 task = start_background_task(
@@ -143,7 +146,10 @@
                 )
                 self._takeovers[shard] = task
         if self._appender_by_shard:
-            ownership.confirm_ownership(self._node.owner, sent_at)
+            ownership.confirm_ownership(
+                self._node.owner, sent_at, self._unverified_shards
+            )
+            self._node.execute_commands()
         owners_age_s = steady_time() - self._owners_read_at
         if (
             reply.generation != self._owners_generation
@@ -165,13 +171,17 @@
 
     async def _verify_retained_shards(self):
         """Hand over shards that another entry has owned since this entry last wrote."""
-        for shard, appender in list(self._appender_by_shard.items()):
-            if not appender.is_idle:
+        for shard in list(self._unverified_shards):
+            appender = self._appender_by_shard.get(shard)
+            if appender is not None and not appender.is_idle:
                 continue  # a fence is detected by the append in flight
             try:
-                await appender.fence()
+                if appender is not None:
+                    await appender.fence()
             except StoreFenced:
-                await self._hand_over(shard, "owned by another entry meanwhile")
+                if self._appender_by_shard.get(shard) is appender:
+                    await self._hand_over(shard, "owned by another entry meanwhile")
+            self._unverified_shards.discard(shard)
 
     async def _take_over(self, shard):
         """Take over a shard; after a failure the next join tries again."""
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -6,6 +6,7 @@
 from .commands import Outcome, StoreRecord
 from .jobs import JobRecord, JobState, create_job, encode_record
 from .owner import (
+    UnknownJobRequest,
     acknowledge_job_ends,
     answer,
     log,
@@ -110,22 +111,14 @@
 
 
 def answer_job_state(owner, shard_number, job_id, waiter, now):
-    """Answer with the stored state of a job.
-
-    If the store has not confirmed the ownership recently, an unknown job may have been
-    accepted by another entry, so the answer is NOT_READY instead of GONE.
-    """
+    """Answer with the stored state of a job."""
     shard = owner.shards.get(shard_number)
     if shard is None:
         answer(owner, waiter, Outcome.NOT_READY, reason="not_owner")
         return
     job = shard.jobs.get(job_id)
     if job is None:
-        is_current = (
-            now - owner.ownership_confirmed_at
-            < owner.times.exclusive_after_confirmation_s
-        )
-        answer(owner, waiter, Outcome.GONE if is_current else Outcome.NOT_READY)
+        _deny_unknown_job(owner, shard, answer_job_state, job_id, waiter, now)
     elif not job.is_stored:
         answer(owner, waiter, Outcome.UNDECIDED)
     elif job.published_state in _OUTCOMES:
@@ -141,11 +134,7 @@
     if shard is None or shard.is_closing:
         answer(owner, waiter, Outcome.NOT_READY, reason="not_owner")
     elif job is None:
-        is_current = (
-            now - owner.ownership_confirmed_at
-            < owner.times.exclusive_after_confirmation_s
-        )
-        answer(owner, waiter, Outcome.GONE if is_current else Outcome.NOT_READY)
+        _deny_unknown_job(owner, shard, cancel_job, job_id, waiter, now)
     elif job.published_state is JobState.CANCELLED:
         job.cancel_waiters.append(waiter)
         acknowledge_cancel(owner, job)
@@ -157,6 +146,50 @@
             _store_cancel(owner, job, now)
 
 
+def _deny_unknown_job(owner, shard, handle, job_id, waiter, now):
+    """Answer that a job does not exist, once the ownership has been confirmed.
+
+    The store may give the shard to another entry at any moment, and that entry may have
+    accepted the job before this request was sent.
+    """
+    if shard.confirmed_at >= now:
+        answer(owner, waiter, Outcome.GONE)
+    elif now - shard.confirmed_at > owner.times.denial_wait_s:
+        answer(owner, waiter, Outcome.NOT_READY, reason="unconfirmed")
+    else:
+        request = UnknownJobRequest(handle, job_id, waiter, now)
+        shard.unknown_job_requests.append(request)
+
+
+def shard_confirmed(owner, shard, confirmed_at):
+    """Record that the store has confirmed the ownership of a shard.
+
+    ``confirmed_at`` is the time at which the confirming call was sent. Answers requests
+    about unknown jobs that were received before.
+    """
+    shard.confirmed_at = max(shard.confirmed_at, confirmed_at)
+    now = shard.confirmed_at
+    requests, shard.unknown_job_requests = shard.unknown_job_requests, []
+    for request in requests:
+        if request.job_id in shard.jobs:
+            request.handle(owner, shard.number, request.job_id, request.waiter, now)
+        elif now >= request.received_at:
+            answer(owner, request.waiter, Outcome.GONE)
+        else:
+            shard.unknown_job_requests.append(request)
+
+
+def end_unknown_job_requests(owner, shard, now):
+    """Answer requests about unknown jobs for which no confirmation has come."""
+    waiting = []
+    for request in shard.unknown_job_requests:
+        if now - request.received_at > owner.times.denial_wait_s:
+            answer(owner, request.waiter, Outcome.NOT_READY, reason="unconfirmed")
+        else:
+            waiting.append(request)
+    shard.unknown_job_requests = waiting
+
+
 def _store_cancel(owner, job, now):
     job.is_cancelling = True
     dequeue_job_tasks(owner, job)
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -34,8 +34,8 @@
     the agent to request one, before the owner gives the run up.
     ``unconfirmed_grants_s``: how long the owner keeps granting after the store last
     confirmed its ownership.
-    ``exclusive_after_confirmation_s``: how long after such a confirmation no other
-    entry can have become the owner.
+    ``denial_wait_s``: how long a request about an unknown job waits for the store to
+    confirm the ownership.
     ``finished_job_retention_s``: how long a finished job remains visible.
     ``store_progress_after_s``: ends of an unfinished job's tasks are stored after this
     time.
@@ -50,7 +50,7 @@
     grant_margin_s: float = 0.15
     start_without_grant_s: float = 0.3
     unconfirmed_grants_s: float = 6.0
-    exclusive_after_confirmation_s: float = 1.4
+    denial_wait_s: float = 1.0
     finished_job_retention_s: float = 120.0
     store_progress_after_s: float = 1.0
     defer_acknowledgements_s: float = 1.0
@@ -58,6 +58,16 @@
     stop_retry_s: float = 0.3
 
 
+@dataclass(slots=True)
+class UnknownJobRequest:
+    """A request about a job that the owner does not know."""
+
+    handle: object  # function that handles the request again
+    job_id: str
+    waiter: object
+    received_at: float
+
+
 @dataclass(slots=True)
 class Shard:
     """A shard that this entry owns."""
@@ -73,6 +83,10 @@
     usable_agents: set = field(default_factory=set)  # agents whose record is stored
     is_closing: bool = False  # being handed over: nothing new starts
     is_durable: bool = True  # holds durable jobs; False: best-effort jobs
+    confirmed_at: float = (
+        0.0  # when the store last confirmed the ownership of the shard
+    )
+    unknown_job_requests: list = field(default_factory=list)  # UnknownJobRequest
     # Ended best-effort jobs: id -> (highest run number of a task, time of the end).
     last_run_numbers: OrderedDict = field(default_factory=OrderedDict)
 
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -13,6 +13,7 @@
 from . import admission
 from .commands import Outcome, SendMessage
 from .crash_history import Crash
+from .job_requests import shard_confirmed
 from .jobs import (
     JobState,
     TaskStatus,
@@ -52,6 +53,7 @@
     )
     owner.shards[number] = shard
     owner.ownership_confirmed_at = max(owner.ownership_confirmed_at, now)
+    shard.confirmed_at = now
     log(
         owner,
         "shard.gained",
@@ -94,6 +96,8 @@
     log(owner, "shard.lost", shard=number, epoch=shard.epoch, reason=reason)
     for job in shard.jobs.values():
         _forget_job(owner, job)
+    for request in shard.unknown_job_requests:
+        answer(owner, request.waiter, Outcome.NOT_READY, reason="owner_changed")
     for name, (_, shard_number, _) in list(owner.pending_stops.items()):
         if shard_number == number:
             del owner.pending_stops[name]
@@ -112,9 +116,13 @@
     job.cancel_waiters = []
 
 
-def confirm_ownership(owner, now):
+def confirm_ownership(owner, confirmed_at, unverified_shards=()):
     """Record that the store has confirmed the ownership.
 
-    ``now`` is the time at which the confirming call was sent.
+    ``confirmed_at`` is the time at which the confirming call was sent. Another entry
+    may have owned the ``unverified_shards`` meanwhile.
     """
-    owner.ownership_confirmed_at = max(owner.ownership_confirmed_at, now)
+    owner.ownership_confirmed_at = max(owner.ownership_confirmed_at, confirmed_at)
+    for shard in owner.shards.values():
+        if shard.is_durable and shard.number not in unverified_shards:
+            shard_confirmed(owner, shard, confirmed_at)
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -7,7 +7,7 @@
 from . import besteffort, crash_reports, offers, pending, quarantine, workers
 from .commands import SendMessage, StoreRecord
 from .evacuation import log_empty_domains
-from .job_requests import acknowledge_cancel, finish_job
+from .job_requests import acknowledge_cancel, end_unknown_job_requests, finish_job
 from .jobs import JobState, RunEnd, TaskStatus, agent_key
 from .leaving_moves import move_runs
 from .owner import (
@@ -321,6 +321,7 @@
     for shard in owner.shards.values():
         if shard.awaited_agents and now >= shard.recovering_until:
             end_recovery(owner, shard, "grants of a previous owner expired", now)
+        end_unknown_job_requests(owner, shard, now)
         _store_progress(owner, shard, now)
         _drop_expired_jobs(owner, shard, now)
     _repeat_stops(owner, now)
