Answer the callers that still wait before a stopping entry exits

Cause: such jobs end 0.05 s before the exit, in a tick that runs every 0.1 s.

Change: their deadline is 0.25 s before the exit.

--- a/tests/node/test_entry.py
+++ b/tests/node/test_entry.py
@@ -8,6 +8,7 @@
 import pytest
 
 from turmericknot.core.ids import shard_of_job
+from turmericknot.node import entry
 from turmericknot.node.constants import SHARD_COUNT
 from turmericknot.node.entry import EntryNode
 from turmericknot.scheduling import owner as decisions, runs
@@ -25,7 +26,7 @@
             settings = SimpleNamespace(
                 node="n",
                 link_address="127.0.0.1:1",
-                bounds=SimpleNamespace(keep_s=1.0, far_factor=1.0),
+                bounds=SimpleNamespace(keep_s=1.0, far_factor=1.0, stop_grace_s=1.2),
                 store=SimpleNamespace(address="127.0.0.1:1", partitions=1),
             )
             node = EntryNode(settings)
@@ -89,3 +90,29 @@
         assert response.status == 504
 
     run_with_entry(test)
+
+
+@pytest.mark.parametrize("phase", range(4))
+def test_waiting_callers_are_answered_before_the_exit(
+    run_with_entry, monkeypatch, phase
+):
+    """Guards against connections that end without an answer at a planned stop."""
+    monkeypatch.setattr(entry, "UNREADY_SERVING_S", 0.1)
+
+    async def test(node):
+        node.membership = SimpleNamespace(
+            leave=lambda: asyncio.sleep(0), run_after_leave=lambda: asyncio.sleep(0)
+        )
+        ticks = asyncio.create_task(node._run_ticks())
+        request = asyncio.create_task(node.handle_request(create_submission(True)))
+        await asyncio.sleep(0.01 + phase * entry.TICK_INTERVAL_S / 4)
+        [job] = node._best_effort_shard.jobs.values()
+        job.possible_runs = 1  # its first step has run
+        server = SimpleNamespace(
+            close_after_responses=lambda: None, busy_connection_count=1
+        )
+        await node._drain(server, asyncio.create_task(asyncio.sleep(0)))
+        assert request.done() and request.result().status == 504
+        ticks.cancel()
+
+    run_with_entry(test)
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -66,6 +66,8 @@
 # The process exits this long before the platform would send SIGKILL. Requests in
 # progress are served into the last sixth of the 6 s of grace.
 SIGKILL_MARGIN_S = 0.6
+# Callers that still wait are answered this long before the exit: jobs end in ticks.
+FINAL_ANSWERS_S = 0.25
 
 
 class AppendListener:
@@ -176,7 +178,8 @@
         self._failed_task = ""
         self._is_draining = False
         self._refuses_jobs = False  # set when a new job could not end before the exit
-        self._exit_deadline = None  # latest exit time of a stopping process
+        # When a stopping process ends the jobs whose callers still wait.
+        self._exit_deadline = None
         self._registrar = create_registrar(
             self.store, settings.node, settings.link_address
         )
@@ -516,9 +519,9 @@
         self.owner.is_shutting_down = True
         started_at = steady_time()
         deadline = started_at + self.settings.bounds.stop_grace_s - SIGKILL_MARGIN_S
-        self._exit_deadline = deadline
+        self._exit_deadline = deadline - FINAL_ANSWERS_S
         for job in self._best_effort_shard.jobs.values():
-            job.deadline_at = min(job.deadline_at, deadline)
+            job.deadline_at = min(job.deadline_at, self._exit_deadline)
         await self.membership.leave()
         membership_task.cancel()
         start_background_task(
