Do not count the waiting jobs of an owner that has not answered yet

Cause: a link to a peer that had just opened counted as an empty status, and a peer that had not loaded its shard yet reported no jobs.

Change: a peer counts once it has answered, a shard once its owner says that it serves it. Until then the answer is 503.

--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -427,7 +427,8 @@
             return Response(405)
         peer_jobs = self.peers.count_pending(queue.name)
         is_complete = all(
-            shard in self.owner.shards or self.membership.owner_of(shard)
+            shard in self.owner.shards
+            or self.peers.serves_shard(self.membership.owner_of(shard), shard)
             for shard in range(SHARD_COUNT)
         )
         if peer_jobs is None or not is_complete:
--- a/turmericknot/node/peers.py
+++ b/turmericknot/node/peers.py
@@ -1,5 +1,7 @@
 """Links to the other entries that own shards, and the status that they report."""
 
+import math
+
 from turmericknot.wire.messages import PROTOCOL_VERSION
 from turmericknot.wire.shard_messages import PeerGreeting, PeerProbe
 
@@ -15,13 +17,14 @@
 class Peer:
     """Another entry that owns shards."""
 
-    __slots__ = ("stream", "opened_at", "answered_at", "pending")
+    __slots__ = ("stream", "opened_at", "answered_at", "pending", "shards")
 
     def __init__(self):
         self.stream = None
         self.opened_at = 0.0
-        self.answered_at = 0.0
+        self.answered_at = -math.inf
         self.pending = {}
+        self.shards = frozenset()  # that it serves
 
 
 class PeerLinks:
@@ -59,7 +62,7 @@
         peer = self._peers.get(member)
         if peer is not None:
             peer.stream = stream
-            peer.opened_at = peer.answered_at = steady_time()
+            peer.opened_at = steady_time()
             self._member_by_stream[stream] = member
 
     def on_closed(self, stream):
@@ -76,6 +79,12 @@
         if peer is not None:
             peer.answered_at = steady_time()
             peer.pending = status.pending
+            peer.shards = frozenset(row.shard for row in status.shards)
+
+    def serves_shard(self, member, shard):
+        """Return whether a peer has said that it serves a shard."""
+        peer = self._peers.get(member)
+        return peer is not None and shard in peer.shards
 
     def count_pending(self, queue):
         """Return the number of jobs of a queue that wait at the peers.
