--- a/review/support/site.py
+++ b/review/support/site.py
@@ -224,9 +224,12 @@
     offset = os.getpid() * PORTS_PER_CASE % span
     for number in range(span):
         port = first + (offset + number) % span
-        with contextlib.suppress(OSError), socket.socket() as one:
-            one.bind(("127.0.0.1", port))
-            yield port
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        yield port
 
 
 @contextlib.asynccontextmanager
@@ -256,6 +259,9 @@
             worker.follow(site.addresses[name, "reports"])
             site.start(name)
         await site._wait_until_ready(names)
+        ended = [name for name, p in site.processes.items() if p.poll() is not None]
+        if ended:
+            raise CannotRun(f"could not be started: {ended}")
         # Entries refuse nothing until every worker has reported; traffic starts 12 s
         # after the machines at the users' sites.
         await asyncio.sleep(4.0)
