--- a/review/support/site.py
+++ b/review/support/site.py
@@ -185,7 +185,7 @@
         while not condition():
             if self.now > until:
                 raise CannotRun(f"not within {timeout_s} s: {what}")
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.005)
 
     async def _wait_until_ready(self, entries):
         until = self.now + START_TIMEOUT_S
--- a/review/support/store.py
+++ b/review/support/store.py
@@ -2,20 +2,17 @@
 
 import asyncio
 import base64
-import contextlib
 import random
-import socket
 import time
 from urllib.parse import parse_qs
 
-from .web import NoAnswer, WebServer
+from .web import ListeningSocket, NoAnswer, WebServer
 
 REMEMBERED_APPENDS = 5
 PAGE_RECORDS = 500
 APPEND_S = 0.001
 ANSWER_S = 0.004
 SILENT_S = 30.0  # callers give up before
-FILLERS = 3  # connections that fill the queue of a listening socket
 
 
 class Partition:
@@ -234,33 +231,22 @@
     def __init__(self, store):
         self.mode = "open"
         self._store = store
-        self._listener = socket.socket()
-        self._fillers = []
+        self._listener = ListeningSocket()
         self.server = WebServer(self._handle)
 
     async def start(self):
-        self._listener.bind(("127.0.0.1", 0))
-        await self.server.start_on(self._listener.dup())
+        self._listener.bind("127.0.0.1:0")
+        await self.server.start_on(self._listener)
 
     async def cut(self):
         self.mode = "silent"
         self.server.stop_accepting()
-        self._listener.listen(0)
-        loop = asyncio.get_running_loop()
-        for _ in range(FILLERS):
-            filler = socket.socket()
-            filler.setblocking(False)
-            self._fillers.append(filler)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(0.05):
-                    await loop.sock_connect(filler, self._listener.getsockname())
+        await self._listener.block()
 
     async def heal(self):
-        for filler in self._fillers:
-            filler.close()
-        self._fillers = []
+        self._listener.unblock()
         self.mode = "open"
-        await self.server.start_on(self._listener.dup())
+        await self.server.start_on(self._listener)
 
     async def _handle(self, call):
         if self.mode == "open":
--- a/review/support/web.py
+++ b/review/support/web.py
@@ -1,10 +1,14 @@
 """A small HTTP/1.1 server and client on asyncio streams, for the stand-ins."""
 
 import asyncio
+import contextlib
 import json
+import socket
 from dataclasses import dataclass
 
 CALL_TIMEOUT_S = 5.0
+FILLERS = 3  # connections that fill the queue of a listening socket
+FILL_TIMEOUT_S = 0.05
 
 
 @dataclass(slots=True)
@@ -43,6 +47,43 @@
     return body if isinstance(body, bytes) else json.dumps(body).encode()
 
 
+class ListeningSocket:
+    """A listening socket that can be blocked: opening packets are then dropped."""
+
+    def __init__(self):
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._fillers = []
+
+    def bind(self, address):
+        host, _, port = address.rpartition(":")
+        self._socket.bind((host, int(port)))
+
+    def duplicate(self):
+        return self._socket.dup()
+
+    async def block(self):
+        """Fill the queue of connections; nobody may accept any meanwhile."""
+        self._socket.listen(0)
+        loop = asyncio.get_running_loop()
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            self._fillers.append(filler)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FILL_TIMEOUT_S):
+                    await loop.sock_connect(filler, self._socket.getsockname())
+
+    def unblock(self):
+        for filler in self._fillers:
+            filler.close()
+        self._fillers = []
+
+    def close(self):
+        self.unblock()
+        self._socket.close()
+
+
 class WebServer:
     """Serves ``handle(call)``, a coroutine function that returns (status, body)."""
 
@@ -52,16 +93,9 @@
         self._writers = set()
         self.address = ""
 
-    async def start(self, address="127.0.0.1:0"):
-        host, _, port = address.rpartition(":")
-        self._server = await asyncio.start_server(
-            self._serve, host, int(port), backlog=512
-        )
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-
-    async def start_on(self, listener):
-        """Serve the connections of a listening socket."""
+    async def start_on(self, listening_socket):
+        """Serve the connections of a ListeningSocket."""
+        listener = listening_socket.duplicate()
         self._server = await asyncio.start_server(
             self._serve, sock=listener, backlog=512
         )
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -8,13 +8,14 @@
 import random
 import time
 
-from .web import NoAnswer, WebServer, call
+from .web import ListeningSocket, NoAnswer, WebServer, call
 
 LEASE_MAX_MS = 1000
 STOP_S = 0.02
 MAX_ENDS = 500
 LEASE_CHECK_S = 0.01
 MUTE_S = 5.0  # callers give up before
+CUT_S = 30.0  # likewise
 HEARTBEAT_S = 1.5
 DRAIN_S = 2.0
 HEARTBEAT_TIMEOUT_S = 1.0
@@ -46,6 +47,7 @@
         self.late_orders = set()  # paths of calls that get no answer, done late
         self.late_s = 12.0
         self.drain_starts = 0  # starts too late after ``draining`` was acknowledged
+        self.tasks_at_crash = []  # at work when it last crashed behind a cut
         self.overfull_starts = 0  # starts beyond the capacity, if it does not guard it
         self.calls = {}  # path -> number
         self.late_calls = {}  # path -> number
@@ -73,8 +75,11 @@
         self._heartbeat_due = asyncio.Event()
         self.drained_at = None
         self.state = "ready"
+        self.is_cut = False
+        self._listener = ListeningSocket()
+        self._listener.bind(self.address or "127.0.0.1:0")
         self._server = WebServer(self._handle)
-        await self._server.start(self.address or "127.0.0.1:0")
+        await self._server.start_on(self._listener)
         self.address = self._server.address
         self.is_up = True
         loop = asyncio.get_running_loop()
@@ -90,13 +95,37 @@
 
     def crash(self):
         """End the process with all that runs on it; it says nothing."""
-        self.is_up = False
         self._server.stop()
+        self._listener.close()
+        self._end_process()
+
+    def _end_process(self):
+        self.is_up = False
         for task in self._tasks:
             task.cancel()
         for task in list(self._running):
             self._end(task, "crashed")
 
+    async def cut(self, seconds, crash_after_s):
+        """Be cut off for some time, crash behind the cut, and start again at its end.
+
+        The worker runs on until its lease ends. Nothing that it is sent arrives, and
+        connections to it are neither accepted nor refused.
+        """
+        self.log(f"{self.id} is cut off with {len(self._running)} tasks")
+        self.is_cut = True
+        self._server.stop_accepting()
+        await self._listener.block()
+        await asyncio.sleep(crash_after_s)
+        self.log(f"{self.id} crashes with {len(self._running)} tasks")
+        self.tasks_at_crash = self.running
+        self._end_process()
+        await asyncio.sleep(seconds - crash_after_s)
+        self._server.stop()
+        self._listener.close()
+        await self.start()
+        self.log(f"{self.id} is started")
+
     @property
     def running(self):
         """Return the names of the tasks that are at work."""
@@ -127,6 +156,8 @@
                 left_s = self._leaves_at - time.monotonic()
                 body["remaining_ms"] = max(0, int(left_s * 1000))
             try:
+                if self.is_cut:
+                    raise ConnectionResetError("cut off")
                 await call(
                     self.agent_address,
                     "PUT",
@@ -173,6 +204,9 @@
 
     async def _handle(self, request):
         path = request.path
+        if self.is_cut or not self.is_up:
+            await asyncio.sleep(CUT_S)
+            raise NoAnswer
         self.calls[path] = self.calls.get(path, 0) + 1
         if path in self.late_orders:
             self.late_calls[path] = self.late_calls.get(path, 0) + 1
