--- a/review/support_3/worker.py
+++ b/review/support_3/worker.py
@@ -90,6 +90,14 @@
     def id(self):
         return self.name if self.keeps_id else f"{self.name}-{self.life.number}"
 
+    @property
+    def born(self):
+        return self.life.born
+
+    @property
+    def up_since(self):
+        return self.life.started_at
+
     async def start(self):
         """Start the first life; it reports once ``agent_address`` is known."""
         await self._start_life("127.0.0.1", 0)
