--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,10 +1,10 @@
-"""A worker that goes down and up by turns, and a job that is then shown as failed."""
+"""The owner of the jobs is killed; the next one can't reach a rack that they need."""
 
 import asyncio
+import hashlib
+import signal
 import sys
 import time
-import zlib
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
@@ -12,62 +12,75 @@
 from review.support_3.case import CannotRun, run_case
 from review.support_3.site import HEALTH_CONTRACTS, job_body, job_id, running_site
 
-WORKERS = 7  # one of them is 0.143 of all
-FLAP_S = 6.5
-PERIOD_S = 1.4
-RUN_MS = 8000
-TASKS = 14
-END_TIMEOUT_S = 60.0
+ENTRIES = 14
+WORKERS = 30
+RACK = "r9-1"
+RACK_SIZE = 3
+LINKED_ENTRIES = 10  # docs: an agent serves ten entries
+SETTLE_S = 14.0
+JOBS = 6
+RUN_MS = 2000
+FINISH_S = 14.0  # after the end of the traffic, jobs are asked for
+WATCH_S = 30.0
 
 
 async def play(has_trouble, record):
-    """Submit one durable job, let its busiest worker flap, and ask for the job."""
+    """Submit jobs whose second step needs a rack, kill the owner during the first."""
     contracts = HEALTH_CONTRACTS
-    async with running_site(agents=WORKERS, contracts=contracts) as site:
-        job = job_id(11)
-        await asyncio.sleep(3.0)  # all workers have reported by then
-        if await site.submit(job, job_body(TASKS, RUN_MS)) != 200:
-            raise CannotRun("the job was not accepted")
-        await asyncio.sleep(2.0)
+    async with running_site(ENTRIES, WORKERS, contracts=contracts) as site:
+        owner, successor = site.store.members()[:2]
+        for name in _choose_rack(site, owner, successor):
+            site.workers[name].labels = ["b", RACK]
+            site.note("rack", worker=name)
+        await asyncio.sleep(SETTLE_S)
+        jobs = [job_id(number) for number in range(JOBS)]
+        for job in jobs:
+            body = job_body(4, RUN_MS)
+            body["steps"].append(body["steps"][0] | {"after": [0], "requires": RACK})
+            if await site.submit(job, body) != 200:
+                raise CannotRun(f"job {job} was not accepted")
+        ended_at = time.monotonic()
+        await asyncio.sleep(1.0)
         if has_trouble:
-            await _flap(site)
-        state = await _wait_for_end(site, job)
-        failed = [row for row in site.rows if row.how == "failed"]
-        ends = Counter(row.how for row in site.rows)
-        lines = [f"state {state}, ends of runs {dict(ends)}"]
+            site.signal(owner, signal.SIGKILL)
+        watched_from = ended_at + FINISH_S
+        watched_to = watched_from + (WATCH_S if has_trouble else 0.0)
+        await asyncio.sleep(watched_to - time.monotonic())
+        lines = []
+        for job in jobs:
+            _, state = await site.state(job)
+            rows = [row for row in site.rows if row.task.startswith(job)]
+            done = {row.task for row in rows if row.how == "done"}
+            first_done = sum(task.split(".")[2] == "0" for task in done)
+            if state == "succeeded" or any(
+                row.ended_at is None or row.ended_at > watched_from for row in rows
+            ):
+                continue
+            lines.append(
+                f"job {job} is {state}, {first_done} of 4 tasks of its first step are "
+                f"done, nothing has run for {watched_to - watched_from:.0f} s"
+            )
+        breaches = [f"LOST: {line}" for line in lines]
+        lines.append(f"owner {owner}, then {site.store.holder().split('|')[0]}")
         record(site, lines)
-        if state == "succeeded":
-            return []
-        if state != "failed":
-            raise CannotRun(f"the job is {state}")
-        if failed:
-            raise CannotRun("a run has failed")
-        return [f"LOST: shown as failed without a failed run; {lines[0]}"]
+        return breaches
 
 
-async def _flap(site):
-    # Any worker may flap. Tasks that had a run on a worker that crashed start again on
-    # the one with the lowest hash first, so the loop is closed soonest there.
-    worker = site.workers[min(site.workers, key=lambda name: zlib.crc32(name.encode()))]
-    ends_at = time.monotonic() + FLAP_S
-    while time.monotonic() + PERIOD_S / 2 < ends_at:
-        worker.crash()
-        site.note("worker.down", worker=worker.name)
-        await asyncio.sleep(PERIOD_S / 2)
-        await worker.restart()
-        site.note("worker.up", worker=worker.name)
-        await asyncio.sleep(PERIOD_S / 2)
+def _choose_rack(site, owner, successor):
+    """Return workers whose agents serve the one entry and not the other."""
+    names = []
+    for agent in site.workers:
+        served = sorted(site.addresses, key=lambda entry: _rank(agent, entry))
+        served = served[:LINKED_ENTRIES]
+        if owner in served and successor not in served:
+            names.append(agent)
+    if len(names) < RACK_SIZE:
+        raise CannotRun("no such rack with these entries")
+    return names[:RACK_SIZE]
 
 
-async def _wait_for_end(site, job):
-    ends_at = time.monotonic() + END_TIMEOUT_S
-    while time.monotonic() < ends_at:
-        status, state = await site.state(job)
-        site.note("asked", job=job, status=status, state=state)
-        if state in ("succeeded", "failed"):
-            return state
-        await asyncio.sleep(1.0)
-    return state or f"answered with {status}"
+def _rank(agent, entry):
+    return hashlib.blake2b(f"{agent}|{entry}".encode(), digest_size=8).digest()
 
 
 run_case(play, __file__)
