Review case 11: an owner that the store turns away repeats done tasks

Cause: agents that have accepted the next owner no longer ask the former one for grants. It takes them for silent and their runs for lost, and starts the tasks at agents that do not serve the next owner, for as long as it grants without a confirmation, 6 s. The next owner has the ends acknowledged meanwhile.

Nothing is fixed.

--- a/review/support_3/site.py
+++ b/review/support_3/site.py
@@ -251,7 +251,6 @@
     """Run a site for the duration of the block, then end all its processes."""
     with tempfile.TemporaryDirectory() as temporary:
         site = Site(folder or temporary, contracts)
-        await site.store.start()
         site.publish(**publish)
         loop = asyncio.get_running_loop()
         used = set()
@@ -265,7 +264,7 @@
                     f'jobs_address = "127.0.0.1:{jobs}"\n'
                     f'ready_address = "127.0.0.1:{ready}"'
                 )
-                _add_process(site, name, link, metrics, listeners)
+                await _add_process(site, name, link, metrics, listeners)
             for number in range(agents):
                 link, metrics, reports = _free_ports(3, used)
                 name = f"agent-{number}"
@@ -277,7 +276,7 @@
                     f'reports_address = "127.0.0.1:{reports}"\n'
                     f'worker_address = "{worker.address}"\nservice = "service"'
                 )
-                _add_process(site, name, link, metrics, listeners)
+                await _add_process(site, name, link, metrics, listeners)
             site._watchers = [
                 loop.create_task(site._keep_running(name)) for name in site.processes
             ]
@@ -297,13 +296,13 @@
             site.store.stop()
 
 
-def _add_process(site, name, link, metrics, listeners):
+async def _add_process(site, name, link, metrics, listeners):
     site._settings[name] = SETTINGS.format(
         node=name,
         link_port=link,
         metrics_port=metrics,
         listeners=listeners,
-        store=site.store.address,
+        store=await site.store.open_for(name),
         contracts=json.dumps(site.contracts),
     )
     site.start_process(name)
--- a/review/support_3/store.py
+++ b/review/support_3/store.py
@@ -1,8 +1,9 @@
 """Stand-in for the platform's store, as the users' page on the protocol tells it.
 
 Faults are set as attributes: ``is_down`` (every call is answered with 503),
-``slow_s`` (added to every answer), ``lost_share`` of the writing calls are carried out
-and not answered, ``late_share`` of them are carried out 1 to 6 s later instead.
+``turned_away`` (the same for some processes), ``slow_s`` (added to every answer),
+``lost_share`` of the writing calls are carried out and not answered, ``late_share`` of
+them are carried out 1 to 6 s later instead.
 """
 
 import asyncio
@@ -56,16 +57,22 @@
         self.slow_s = 0.0
         self.lost_share = 0.0
         self.late_share = 0.0
-        self.address = ""
-        self.server = Server(self._handle)
+        self.servers = {}  # process -> the Server that it calls
+        self.turned_away = set()  # processes whose calls are answered with 503
 
-    async def start(self):
-        """Start to listen."""
-        self.address = await self.server.start()
+    async def open_for(self, name):
+        """Start to listen for a process; return the address for its settings."""
+
+        async def handle(call):
+            return Reply(503) if name in self.turned_away else await self._handle(call)
+
+        self.servers[name] = Server(handle)
+        return await self.servers[name].start()
 
     def stop(self):
         """Stop to listen."""
-        self.server.stop()
+        for server in self.servers.values():
+            server.stop()
 
     def partition(self, topic, number=0):
         return self.partitions.setdefault((topic, number), Partition())
