--- a/review/support_3/case.py
+++ b/review/support_3/case.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from pathlib import Path
@@ -29,6 +30,10 @@
         site.write_record(path, [head, *lines])
 
     async def main():
+        # A case that is told to end still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         async with asyncio.timeout(TIMEOUT_S):
             return await play(has_trouble, record)
 
@@ -37,7 +42,7 @@
     except CannotRun as error:
         print(f"cannot run: {error}")
         sys.exit(2)
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         sys.exit(2)
     print("\n".join(breaches) or "the rule held")
