Give up silent agents' runs only after a confirmation of the ownership

Cause: agents that have accepted a new owner no longer ask the former one for grants. A former owner that the store turned away took them for lost 1.25 s after the last grant and started their tasks at agents that serve it and not the new owner, which exist on sites of more than ten entries.

Change: the runs of a silent agent are given up only once the store has confirmed the ownership of the shard by a call that was sent after the grant had expired. A successor that the agent accepts later finds the run ended. Runs that were never granted and those of best-effort jobs are given up as before.

--- a/tests/scheduling/fuzz/knockouts.py
+++ b/tests/scheduling/fuzz/knockouts.py
@@ -23,6 +23,22 @@
     patch(decisions, "OwnerTimes", lambda: OwnerTimes(grant_s=0.2, grant_margin_s=0.0))
 
 
+def give_up_unconfirmed_runs(patch):
+    """An owner restarts the runs of silent agents that may have a later owner."""
+    expire_agent = runs.expire_agent
+
+    def expire_agent_unconfirmed(owner, view, now):
+        confirmed_at = {n: s.confirmed_at for n, s in owner.shards.items()}
+        for shard in owner.shards.values():
+            shard.confirmed_at = now
+        ended = expire_agent(owner, view, now)
+        for number, shard in owner.shards.items():
+            shard.confirmed_at = confirmed_at[number]
+        return ended
+
+    patch(runs, "expire_agent", expire_agent_unconfirmed)
+
+
 def renew_lease_without_grants(patch):
     """The agent renews the worker's lease without regard to the owners' grants."""
 
@@ -158,6 +174,7 @@
     function.__name__: function
     for function in (
         give_up_runs_early,
+        give_up_unconfirmed_runs,
         renew_lease_without_grants,
         skip_fence_after_lost_response,
         skip_recovery_wait,
--- a/tests/scheduling/fuzz/test_fuzz.py
+++ b/tests/scheduling/fuzz/test_fuzz.py
@@ -7,18 +7,26 @@
 
 from tests.scheduling.fuzz.knockouts import KNOCKOUTS
 from tests.scheduling.fuzz.oracle import InvariantViolation
-from tests.scheduling.fuzz.walk import RESTARTED_WORKERS, UNREACHABLE_WORKERS, walk
+from tests.scheduling.fuzz.walk import (
+    REPLACED_OWNERS,
+    RESTARTED_WORKERS,
+    UNREACHABLE_WORKERS,
+    walk,
+)
 
 STEPS = 120
 WALKS = 100
+# Entries that an agent serves where it does not serve all of them.
+FEW_ENTRIES = 2
 # Knockout -> seed of a walk that fails with it.
 KNOCKOUT_WALKS = {
     "give_up_runs_early": 4,
+    "give_up_unconfirmed_runs": 219,
     "renew_lease_without_grants": 14,
     "skip_fence_after_lost_response": 32,
     "skip_recovery_wait": 131,
     "acknowledge_ends_before_stored": 41,
-    "accept_any_epoch": 566,
+    "accept_any_epoch": 9,
     "accept_before_stored": 2,
     "cancel_before_stored": 65,
     "report_worker_before_sync": 16,
@@ -27,6 +35,8 @@
     "give_up_queued_runs_silently": 10,
     "refuse_runs_of_a_former_process": 97,
 }
+# Knockouts that walks of another kind detect, and the arguments of these.
+KNOCKOUT_WALK_KINDS = {"give_up_unconfirmed_runs": (REPLACED_OWNERS, FEW_ENTRIES)}
 # Seeds of long walks that failed before a fault was fixed, and that fault.
 FAILED_WALKS = {
     3046: "a cancel was acknowledged while a previous owner could start tasks",
@@ -86,6 +96,12 @@
         walk(seed, STEPS, RESTARTED_WORKERS)
 
 
+def test_random_walks_with_replaced_owners():
+    """Guards against a former owner that acts at agents the new one does not reach."""
+    for seed in range(WALKS):
+        walk(seed, STEPS, REPLACED_OWNERS, FEW_ENTRIES)
+
+
 @pytest.mark.parametrize("seed", FAILED_WALKS_WITH_UNREACHABLE_WORKERS)
 def test_previously_failed_walk_with_unreachable_workers_passes(seed):
     walk(seed, FAILED_WALKS_WITH_UNREACHABLE_WORKERS[seed], UNREACHABLE_WORKERS)
@@ -106,13 +122,13 @@
     """Guards against an oracle or a world that does not reveal a fault."""
     KNOCKOUTS[name](monkeypatch.setattr)
     with pytest.raises(InvariantViolation):
-        walk(KNOCKOUT_WALKS[name], STEPS)
+        walk(KNOCKOUT_WALKS[name], STEPS, *KNOCKOUT_WALK_KINDS.get(name, ()))
 
 
 @pytest.mark.parametrize("name", KNOCKOUT_WALKS)
 def test_walk_passes_without_knockout(name):
     """Guards against a walk that fails for another reason than its knockout."""
-    walk(KNOCKOUT_WALKS[name], STEPS)
+    walk(KNOCKOUT_WALKS[name], STEPS, *KNOCKOUT_WALK_KINDS.get(name, ()))
 
 
 @pytest.mark.parametrize("seed", FAILED_WALKS)
@@ -130,3 +146,4 @@
         walk(seed + offset, 2 * STEPS)
         walk(seed + offset, 2 * STEPS, UNREACHABLE_WORKERS)
         walk(seed + offset, 2 * STEPS, RESTARTED_WORKERS)
+        walk(seed + offset, 2 * STEPS, REPLACED_OWNERS, FEW_ENTRIES)
--- a/tests/scheduling/fuzz/walk.py
+++ b/tests/scheduling/fuzz/walk.py
@@ -4,7 +4,7 @@
 
 from tests.scheduling.fuzz.oracle import InvariantViolation
 from tests.scheduling.fuzz.worker_model import WORKER_CPU
-from tests.scheduling.fuzz.world import World
+from tests.scheduling.fuzz.world import ENTRY_COUNT, World
 from turmericknot.scheduling.commands import Outcome
 
 RECOVERY_S = 14.0  # longer than a recovery after the longest grant
@@ -239,14 +239,38 @@
 }
 
 
-def walk(seed, steps, actions=ACTIONS):
+def _replace_owner(world, rng):
+    """Cut the owner of the shard off from the store, which chooses another one."""
+    owner = world.shard_owner
+    if owner is None:
+        return
+    others = [entry for entry in world.entries if entry is not owner]
+    owner.can_reach_store = False
+    world.assign_shard(rng.choice(others))
+
+
+def _restore_store_access(world, rng):
+    for entry in world.entries:
+        entry.can_reach_store = True
+
+
+# Owners of durable jobs that are replaced while they cannot reach the store.
+REPLACED_OWNERS = {
+    **ACTIONS,
+    _submit_durable: 16,
+    _replace_owner: 4,
+    _restore_store_access: 2,
+}
+
+
+def walk(seed, steps, actions=ACTIONS, entries_per_agent=ENTRY_COUNT):
     """Run a walk and return its world.
 
     Raises InvariantViolation with the seed and the step.
     """
     rng = random.Random(seed)
     step = 0
-    world = World(seed)
+    world = World(seed, entries_per_agent)
     try:
         for action in rng.choices(list(actions), list(actions.values()), k=steps):
             step += 1
--- a/tests/scheduling/fuzz/world.py
+++ b/tests/scheduling/fuzz/world.py
@@ -95,10 +95,14 @@
 
 
 class World:
-    """All processes, links and the store, in simulated time."""
+    """All processes, links and the store, in simulated time.
 
-    def __init__(self, seed):
+    Each agent connects to ``entries_per_agent`` of the entries only.
+    """
+
+    def __init__(self, seed, entries_per_agent=ENTRY_COUNT):
         self.rng = random.Random(seed)
+        self.entries_per_agent = entries_per_agent
         self.now = 100.0
         self.oracle = Oracle()
         self.store = Store()
@@ -156,7 +160,7 @@
     def connect(self, entry, agent):
         if entry.owner is None or agent.state is None:
             return
-        if entry.is_paused or agent.is_paused:
+        if entry.is_paused or agent.is_paused or not self._serves(agent, entry):
             return
         self.last_id += 1
         link = Link(self.last_id, entry, agent)
@@ -167,6 +171,10 @@
         link.grant_requests.stream_opened(True, self.now)
         self.request_grant(link)
 
+    def _serves(self, agent, entry):
+        distance = entry.number - self.agents.index(agent)
+        return distance % ENTRY_COUNT < self.entries_per_agent
+
     def break_link(self, link):
         """Drop all messages in flight and notify both sides of the disconnect."""
         self.links.pop((link.entry.name, link.agent.name), None)
--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -156,6 +156,11 @@
     return second
 
 
+def silence(site, entry, agent):
+    """Let an agent stop asking an entry for grants, as it does after a takeover."""
+    site.links.discard((entry.name, agent.name))
+
+
 def test_new_owner_adopts_the_runs_of_the_previous_one(owned_site):
     """A change of the owner must not start a task twice."""
     start(owned_site, owned_site.entries["entry-0"])
@@ -178,9 +183,60 @@
     runs.tick(second.owner, owned_site.now + 1.0)
     assert all(view.tasks for view in adopted)
     runs.tick(second.owner, owned_site.now + 1.3)
+    assert all(view.tasks for view in adopted)
+    ownership.confirm_ownership(second.owner, owned_site.now + 1.3)
+    runs.tick(second.owner, owned_site.now + 1.35)
     assert not any(view.tasks for view in adopted)
 
 
+def test_owner_without_the_store_restarts_no_run_of_its_successor(create_site):
+    """Guards against a second run of a task that a new owner has taken over.
+
+    The former owner cannot reach the store. Of its agents, those with runs serve the
+    new owner as well, and one does not.
+    """
+    site = create_site(entries=2, agents=3)
+    first, second = site.entries.values()
+    gain_shard(site, first, SHARD, 1)
+    start(site, first)
+    busy_agents = {agent for agent, _ in site.running()}
+    (other_agent,) = set(site.agents) - busy_agents
+    site.disconnect(second, site.agents[other_agent])
+    take_over(site)
+    for agent in busy_agents:
+        silence(site, first, site.agents[agent])
+    site.advance(0.3)
+    for agent, name in site.running():
+        site.agents[agent].worker.end_run(name)
+    for _ in range(30):
+        site.advance(0.1)
+        site.store_records(second)
+    assert query_outcome(site, second) is Outcome.SUCCEEDED
+    assert site.agents[other_agent].worker.started == []
+
+
+def test_runs_of_a_lost_agent_restart_once_the_ownership_is_confirmed(create_site):
+    """Guards against tasks that are never started again after the loss of an agent."""
+    site = create_site(agents=3)
+    (entry,) = site.entries.values()
+    gain_shard(site, entry, SHARD, 1)
+    start(site, entry)
+    lost_agent, lost_run = site.running()[0]
+    site.disconnect(entry, site.agents[lost_agent])
+    site.agents[lost_agent].crash(site.now)
+
+    def runs_elsewhere():
+        others = [run for agent, run in site.running() if agent != lost_agent]
+        return [run for run in others if run.index == lost_run.index]
+
+    ownership.confirm_ownership(entry.owner, site.now)  # before the grant has expired
+    site.advance(2.0)
+    assert runs_elsewhere() == []
+    ownership.confirm_ownership(entry.owner, site.now)
+    site.advance(0.2)
+    assert len(runs_elsewhere()) == 1
+
+
 def test_late_append_of_a_lost_shard_starts_nothing(owned_site):
     """A task must not start twice, for a forgotten job and for the stored one."""
     entry = owned_site.entries["entry-0"]
--- a/turmericknot/scheduling/runs.py
+++ b/turmericknot/scheduling/runs.py
@@ -21,6 +21,7 @@
     store_job,
 )
 from .pending import demote_late_jobs, dequeue_task, enqueue_ready_steps, enqueue_task
+from .run_expiry import expire_agent
 from .skips import create_skipped_jobs, pool_of, skip_known_job
 
 # Jobs of a pool that may be skipped for lack of capacity, in search of a smaller one. A
@@ -334,26 +335,14 @@
 
 
 def _expire_agents(owner, now):
-    """Give up the runs of agents whose grants have expired.
-
-    A run that was sent after that has not started: without a grant, the agent queues
-    it and requests one. The stop that precedes the next grant on the stream removes it
-    from the agent's queue.
-    """
+    """Give up the runs of silent agents that have certainly ended."""
     for view in owner.agents.values():
-        if now < view.granted_until + owner.times.grant_margin_s:
-            continue
-        view.is_expired = True
-        overdue = [
-            task
-            for task in view.tasks.values()
-            if now - task.started_at >= owner.times.start_without_grant_s
-        ]
-        if not overdue:
+        ended = expire_agent(owner, view, now)
+        if not ended:
             continue
-        log(owner, "agent.expired", agent=view.id, runs=len(overdue))
+        log(owner, "agent.expired", agent=view.id, runs=len(ended))
         view.last_request_at = -math.inf  # gets no new run before its next request
-        for task in overdue:
+        for task in ended:
             name = RunName(task.job.id, task.step, task.index, task.run)
             send_stop(owner, view.id, task.job.shard, name)
             run_ended_without_result(owner, view, task, RunEnd.LOST, now)
