Grant shards by the confirmation of each shard

An owner whose group has changed goes on granting durable shards after its next join, although it has not verified yet that no other entry owned them meanwhile: the confirmation was kept once for the entry, and a join set it for unverified shards as well.

Change: grants depend on `Shard.confirmed_at`, which only a fence call, an append or a join without a change of the group advances. The entry's own figure is gone.

test_unverified_shard_is_not_granted failed before. tests/scheduling, test_membership and test_entry pass.

--- a/tests/scheduling/fuzz/world.py
+++ b/tests/scheduling/fuzz/world.py
@@ -285,10 +285,9 @@
             if self.rng.random() < 0.05:
                 entry.pending_writes.appendleft(command)  # lost response: retried
                 return
-            entry.owner.ownership_confirmed_at = max(
-                entry.owner.ownership_confirmed_at, self.now
-            )
             job_requests.record_stored(entry.owner, command, entry.epoch, self.now)
+            shard = entry.owner.shards[SHARD]
+            job_requests.shard_confirmed(entry.owner, shard, self.now)
             runs.schedule_tasks(entry.owner, self.now)
             self.process_pending()
 
--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -5,7 +5,7 @@
 from turmericknot.scheduling import job_requests, ownership, runs, worker_starts
 from turmericknot.scheduling.commands import Outcome
 from turmericknot.scheduling.jobs import RunEnd, agent_key, encode_record
-from turmericknot.scheduling.owner import pending_by_queue
+from turmericknot.scheduling.owner import granted_shards, pending_by_queue
 
 from .site import JOB_ID, create_job_record, gain_shard
 
@@ -215,6 +215,19 @@
     assert site.agents[other_agent].worker.started == []
 
 
+def test_unverified_shard_is_not_granted(owned_site):
+    """Guards against grants of an owner that may have lost the shard in between."""
+    owner, now = owned_site.entries["entry-0"].owner, owned_site.now + 10.0
+
+    def granted_numbers():
+        return {shard.shard for shard in granted_shards(owner, now)}
+
+    ownership.confirm_ownership(owner, now, unverified_shards={SHARD})
+    assert SHARD not in granted_numbers()
+    ownership.confirm_ownership(owner, now)
+    assert SHARD in granted_numbers()
+
+
 def test_runs_of_a_lost_agent_restart_once_the_ownership_is_confirmed(create_site):
     """Guards against tasks that are never started again after the loss of an agent."""
     site = create_site(agents=3)
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -81,7 +81,6 @@
     def on_written(self, appender, batch, sent_at):
         """Handle a batch of records that is stored."""
         owner = self._node.owner
-        owner.ownership_confirmed_at = max(owner.ownership_confirmed_at, sent_at)
         now = steady_time()
         for command in batch:
             job_requests.record_stored(owner, command, appender.epoch, now)
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -114,7 +114,6 @@
         "commands",
         "_deferred_acknowledgements",
         "_flush_acknowledgements_at",
-        "ownership_confirmed_at",
         "pending_stops",
         "leaving_workers",
         "moving_runs",
@@ -146,7 +145,6 @@
         # (agent id, life of its worker) -> numbers of ends to acknowledge
         self._deferred_acknowledgements = {}
         self._flush_acknowledgements_at = 0.0
-        self.ownership_confirmed_at = 0.0  # when the store last confirmed the ownership
         self.pending_stops = {}  # run name -> (agent id, shard, time of last request)
         self.leaving_workers = {}  # agent id -> LeavingWorker
         # Runs being moved off them: run name -> (agent id, StepSpec) of the capacity
@@ -292,15 +290,13 @@
     since the agent process first connected. Otherwise a restarted agent, which does
     not know a later owner, would accept a previous one that cannot reach the store.
     """
-    is_confirmed = (
-        now - owner.ownership_confirmed_at <= owner.times.unconfirmed_grants_s
-    )
-    if view is not None and owner.ownership_confirmed_at < view.boot_at:
-        is_confirmed = False
+    confirmed_after = now - owner.times.unconfirmed_grants_s
+    if view is not None:
+        confirmed_after = max(confirmed_after, view.boot_at)
     return [
         ShardEpoch(shard.number, shard.epoch)
         for shard in owner.shards.values()
-        if is_confirmed or not shard.is_durable
+        if shard.confirmed_at >= confirmed_after or not shard.is_durable
     ]
 
 
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -52,7 +52,6 @@
         now + times.unconfirmed_grants_s + times.grant_s + times.grant_margin_s
     )
     owner.shards[number] = shard
-    owner.ownership_confirmed_at = max(owner.ownership_confirmed_at, now)
     shard.confirmed_at = now
     log(
         owner,
@@ -117,12 +116,11 @@
 
 
 def confirm_ownership(owner, confirmed_at, unverified_shards=()):
-    """Record that the store has confirmed the ownership.
+    """Record that the store has confirmed the ownership of the verified shards.
 
     ``confirmed_at`` is the time at which the confirming call was sent. Another entry
     may have owned the ``unverified_shards`` meanwhile.
     """
-    owner.ownership_confirmed_at = max(owner.ownership_confirmed_at, confirmed_at)
     for shard in owner.shards.values():
         if shard.is_durable and shard.number not in unverified_shards:
             shard_confirmed(owner, shard, confirmed_at)
