Let every agent serve the owner of durable jobs

Cause: an agent serves ten entries, whatever these do, and an entry asks for more only if it lacks agents of a service.

Change: a registration names the shards of durable jobs that the entry owns, with their epochs, and is renewed at once when a shard is gained. Agents connect to the owner with the highest epoch of each shard, besides their ten entries. The field is the last one and has a default.

--- a/tests/node/test_entry_links.py
+++ b/tests/node/test_entry_links.py
@@ -99,6 +99,20 @@
     assert chosen < set(recording.dialed) and len(recording.dialed) == 35
 
 
+def test_agent_follows_the_owner_of_durable_jobs(links):
+    """Guards against an agent that never reports to the next owner of its runs."""
+    created, recording = links
+    register(created, range(35))
+    chosen = set(recording.dialed)
+    others = [n for n in range(35) if f"10.0.0.{n}:7720" not in chosen]
+    for epoch, number in enumerate(others[:2], 1):
+        owned_shards = [wire.ShardEpoch(0, epoch)]
+        register(created, [number], 1000.0 + epoch, owned_shards=owned_shards)
+        assert f"10.0.0.{number}:7720" in recording.dialed
+    created.update(entry_links.steady_time() + entry_links.LEAVE_DELAY_S + 0.5)
+    assert set(recording.dialed) == chosen | {f"10.0.0.{others[1]}:7720"}
+
+
 def test_reused_address_belongs_to_the_newest_registration(links):
     """Guards against a removed entry whose address another one has taken over."""
     created, recording = links
--- a/tests/node/test_registrar.py
+++ b/tests/node/test_registrar.py
@@ -7,7 +7,8 @@
 from turmericknot.core.exceptions import StoreUnavailable
 from turmericknot.node import registrar as registrars
 from turmericknot.node.registration import decode_registration
-from turmericknot.scheduling import owner as owners
+from turmericknot.scheduling import owner as owners, ownership
+from turmericknot.wire.shard_messages import ShardEpoch
 
 
 class RecordingStore:
@@ -63,3 +64,22 @@
         assert [r.lacking_services for r in store.registrations] == [[], ["rare"]]
 
     run_registrar(store, test)
+
+
+def test_gained_shard_is_registered_at_once(run_registrar):
+    """Guards against an owner of durable jobs that most agents do not know of."""
+    store = RecordingStore()
+
+    async def test(registrar):
+        owner = owners.create_owner()
+        registrar.update_owned_shards(owner)
+        ownership.gain_shard(owner, 0, 5, [], 0.0)
+        for _ in range(2):
+            registrar.update_owned_shards(owner)
+            await asyncio.sleep(0.03)
+        ownership.lose_shard(owner, 0, "handover", 0.0)
+        registrar.update_owned_shards(owner)
+        await asyncio.sleep(0.03)
+        assert [r.owned_shards for r in store.registrations] == [[], [ShardEpoch(0, 5)]]
+
+    run_registrar(store, test)
--- a/tests/scheduling/fuzz/world.py
+++ b/tests/scheduling/fuzz/world.py
@@ -97,7 +97,8 @@
 class World:
     """All processes, links and the store, in simulated time.
 
-    Each agent connects to ``entries_per_agent`` of the entries only.
+    Each agent connects to ``entries_per_agent`` of the entries, and to the owner of the
+    shard.
     """
 
     def __init__(self, seed, entries_per_agent=ENTRY_COUNT):
@@ -173,7 +174,8 @@
 
     def _serves(self, agent, entry):
         distance = entry.number - self.agents.index(agent)
-        return distance % ENTRY_COUNT < self.entries_per_agent
+        is_owner = entry.epoch == self.store.epoch > 0
+        return distance % ENTRY_COUNT < self.entries_per_agent or is_owner
 
     def break_link(self, link):
         """Drop all messages in flight and notify both sides of the disconnect."""
--- a/tests/scheduling/test_neighborhood.py
+++ b/tests/scheduling/test_neighborhood.py
@@ -70,6 +70,18 @@
     assert len(other) == neighborhood.ENTRIES_PER_AGENT
 
 
+def test_every_agent_serves_the_latest_owner_of_durable_jobs():
+    """Guards against accepted jobs that need workers which their owner cannot reach."""
+    everyone = candidates(35)
+    everyone[3].owned_shards = [wire.ShardEpoch(0, 4)]  # has not noticed the takeover
+    everyone[7].owned_shards = [wire.ShardEpoch(0, 5)]
+    for number in range(160):
+        name = f"side-{number}"
+        chosen = neighborhood.choose_entries(name, "s", everyone)
+        by_hash = neighborhood.choose_entries(name, "s", candidates(35))
+        assert chosen == by_hash | {"front-7"}
+
+
 @pytest.fixture
 def create_owner():
     def create(agents, service="s", usable=True):
--- a/turmericknot/node/agent.py
+++ b/turmericknot/node/agent.py
@@ -49,7 +49,7 @@
 from .constants import SHARD_COUNT
 from .entry_links import create_entry_links
 from .metrics import start_metrics_server
-from .tasks import start_background_task, start_periodic_task
+from .tasks import start_background_task, start_periodic_task, wait_for_event
 from .traffic_log import log_traffic
 from .worker_state import create_worker_state_store
 
@@ -327,7 +327,7 @@
             self._renew_now.clear()
             delay_s = await self._renew_lease_once(wait_s)
             if delay_s:
-                await _wait_for_event(self._renew_now, delay_s)
+                await wait_for_event(self._renew_now, delay_s)
             elif self._runs.first_durable_end is not None:
                 await self._wait_until_ends_acknowledged()
 
@@ -441,7 +441,7 @@
         Until they do, the worker answers each renewal at once.
         """
         self._ends_acknowledged.clear()
-        await _wait_for_event(self._ends_acknowledged, ACKNOWLEDGEMENT_WAIT_S)
+        await wait_for_event(self._ends_acknowledged, ACKNOWLEDGEMENT_WAIT_S)
 
     def _handle_entry_messages(self, link, messages):
         now = steady_time()
@@ -507,15 +507,6 @@
             self._entries.report_usage()
 
 
-async def _wait_for_event(event, timeout_s):
-    """Wait for the event for at most ``timeout_s``."""
-    try:
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-    except TimeoutError:
-        pass
-
-
 def run_agent(settings):
     """Run an agent until it is stopped; return its exit code."""
 
--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -166,6 +166,7 @@
                 name,
                 name in link_by_name and link_by_name[name].is_unreachable(now),
                 registration.lacking_services,
+                registration.owned_shards,
             )
             for name, registration in registrations.items()
         ]
--- a/turmericknot/node/registrar.py
+++ b/turmericknot/node/registrar.py
@@ -1,4 +1,4 @@
-"""Keeps an entry registered in the store, with the services it lacks agents for."""
+"""Keeps an entry registered in the store, with what agents have to know of it."""
 
 import asyncio
 import math
@@ -11,6 +11,7 @@
 
 from .clock import steady_time
 from .registration import REGISTER_INTERVAL_S, Registration, encode_registration
+from .tasks import wait_for_event
 
 RETRY_DELAY_S = 0.3
 CHECK_INTERVAL_S = 0.5
@@ -26,7 +27,9 @@
         "_name",
         "_address",
         "_lacking_services",
+        "_owned_shards",
         "_agents_expected_at",
+        "_changed",
     )
 
     def __init__(self, store, name, address):
@@ -34,7 +37,9 @@
         self._name = name
         self._address = address
         self._lacking_services = ()
+        self._owned_shards = []
         self._agents_expected_at = steady_time() + AGENTS_CONNECT_S
+        self._changed = asyncio.Event()
 
     def update_lacking_services(self, owner, services, now):
         """Find out which services lack agents, once the agents had time to connect."""
@@ -45,20 +50,36 @@
         )
         if lacking_services != self._lacking_services:
             self._lacking_services = lacking_services
+            self._changed.set()
             get_logger().info("agents.lacking", services=",".join(lacking_services))
 
+    def update_owned_shards(self, owner):
+        """Find out which shards of durable jobs the entry owns."""
+        owned_shards = neighborhood.find_owned_shards(owner)
+        if owned_shards != self._owned_shards:
+            self._owned_shards = owned_shards
+            self._changed.set()
+
     async def run(self):
-        """Register at the start, on changes, and again at a fixed interval."""
+        """Register at the start, on changes, and again at a fixed interval.
+
+        A lost shard needs no registration: its next owner has a higher epoch.
+        """
+        registered = Registration(self._address, 0.0)
         registered_at = -math.inf
-        registered_services = ()
         while True:
-            lacking_services = self._lacking_services
-            is_renewal_due = steady_time() - registered_at > REGISTER_INTERVAL_S
-            if not is_renewal_due and lacking_services == registered_services:
-                await asyncio.sleep(CHECK_INTERVAL_S)
+            self._changed.clear()
+            is_unchanged = registered.lacking_services == list(
+                self._lacking_services
+            ) and all(shard in registered.owned_shards for shard in self._owned_shards)
+            if is_unchanged and steady_time() - registered_at <= REGISTER_INTERVAL_S:
+                await wait_for_event(self._changed, CHECK_INTERVAL_S)
                 continue
             registration = Registration(
-                self._address, time.time(), list(lacking_services)
+                self._address,
+                time.time(),
+                list(self._lacking_services),
+                list(self._owned_shards),
             )
             record = KeyedRecord(self._name, encode_registration(registration))
             try:
@@ -67,8 +88,8 @@
                 get_logger().warning("register.failed", reason=str(error))
                 await asyncio.sleep(RETRY_DELAY_S)
                 continue
+            registered = registration
             registered_at = steady_time()
-            registered_services = lacking_services
 
 
 def create_registrar(store, name, address):
--- a/turmericknot/node/registration.py
+++ b/turmericknot/node/registration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from turmericknot.core.exceptions import MessageError
+from turmericknot.wire.shard_messages import ShardEpoch
 
 # Entries renew their registration at this interval. An agent forgets an address that
 # it could not reach for twice as long.
@@ -21,12 +22,14 @@
 class Registration(msgspec.Struct, array_like=True):
     """The link address of an entry and the Unix time of its registration.
 
-    ``lacking_services`` names the services for which it has too few agents.
+    ``lacking_services`` names the services for which it has too few agents,
+    ``owned_shards`` the shards of durable jobs that it owned then.
     """
 
     address: str
     time: float
     lacking_services: list[str] = []
+    owned_shards: list[ShardEpoch] = []
 
 
 _registration_decoder = msgspec.msgpack.Decoder(Registration)
--- a/turmericknot/node/tasks.py
+++ b/turmericknot/node/tasks.py
@@ -56,3 +56,12 @@
                 raise
             get_logger().exception("task.restarted", task=name)
             await asyncio.sleep(RESTART_DELAY_S)
+
+
+async def wait_for_event(event, timeout_s):
+    """Wait for an asyncio.Event for at most ``timeout_s``."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        pass
--- a/turmericknot/scheduling/neighborhood.py
+++ b/turmericknot/scheduling/neighborhood.py
@@ -9,13 +9,20 @@
 of a service says so in its registration, and all agents of that service connect to it.
 Services with few workers are thus served by all of them, and an entry that has lost a
 large part of its agents gets others.
+
+All durable jobs of a shard have one owner, which must be able to run tasks on any
+worker: on the few with a label, and on those that a previous owner has used, whose runs
+and ends it has to be told. All agents therefore connect to the owner of each shard.
 """
 
 import hashlib
 
+from turmericknot.wire.shard_messages import ShardEpoch
+
 from .workers import has_usable_worker
 
-# Entries that an agent serves, besides those that lack agents of its service.
+# Entries that an agent serves, besides owners of durable jobs and those that lack
+# agents of its service.
 ENTRIES_PER_AGENT = 10
 # Below this number of agents of a service, an entry asks for more; once it has the
 # second number, it no longer does.
@@ -26,12 +33,15 @@
 class EntryCandidate:
     """An entry that an agent may connect to."""
 
-    __slots__ = ("name", "is_unreachable", "lacking_services")
+    __slots__ = ("name", "is_unreachable", "lacking_services", "owned_shards")
 
-    def __init__(self, name, is_unreachable=False, lacking_services=()):
+    def __init__(
+        self, name, is_unreachable=False, lacking_services=(), owned_shards=()
+    ):
         self.name = name
         self.is_unreachable = is_unreachable
         self.lacking_services = lacking_services
+        self.owned_shards = owned_shards  # ShardEpoch of each shard of durable jobs
 
 
 def choose_entries(agent_name, service, candidates):
@@ -39,7 +49,7 @@
 
     An unreachable entry remains chosen, but the next one takes its place as well.
     """
-    chosen = set()
+    chosen = _find_owners(candidates)
     reachable = 0
     for candidate in sorted(candidates, key=lambda c: _rank(agent_name, c.name)):
         if reachable < ENTRIES_PER_AGENT:
@@ -50,11 +60,33 @@
     return chosen
 
 
+def _find_owners(candidates):
+    """Return the names of the latest owners of all shards.
+
+    An entry that has lost a shard may still announce it with its former epoch.
+    """
+    owners = {}  # shard -> (epoch, name)
+    for candidate in candidates:
+        for owned in candidate.owned_shards:
+            owner = (owned.epoch, candidate.name)
+            owners[owned.shard] = max(owners.get(owned.shard, owner), owner)
+    return {name for _, name in owners.values()}
+
+
 def _rank(agent_name, entry_name):
     key = f"{agent_name}|{entry_name}".encode()
     return hashlib.blake2b(key, digest_size=8).digest()
 
 
+def find_owned_shards(owner):
+    """Return the shards of durable jobs that an entry owns, as ShardEpoch."""
+    return [
+        ShardEpoch(shard.number, shard.epoch)
+        for shard in owner.shards.values()
+        if shard.is_durable
+    ]
+
+
 def find_lacking_services(owner, services, lacking_before):
     """Return the names of the services for which the entry has too few agents.
 
