Offer no tasks to agents that have accepted another owner

Change: a start that is refused as `fenced` clears the acceptance of the shard in the owner's view of the agent. An agent that accepts the owner again reports its runs, which restores it.

--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -357,6 +357,17 @@
     assert len(owned_site.running()) == count
 
 
+def test_owner_stops_asking_agents_that_have_accepted_another(owned_site):
+    """Guards against a replaced owner that has its starts refused 20 times a second."""
+    first = owned_site.entries["entry-0"]
+    submit(owned_site, first)
+    take_over(owned_site)
+    owned_site.store_records(first)
+    owned_site.advance(1.0)
+    refused = first.owner.counts["start_refused_fenced"]
+    assert 0 < refused <= 2 * len(owned_site.agents)
+
+
 def test_run_numbers_rise_with_the_epoch(owned_site):
     """A worker rejects a run whose number is not above that of an earlier one."""
     first = owned_site.entries["entry-0"]
--- a/turmericknot/scheduling/reports.py
+++ b/turmericknot/scheduling/reports.py
@@ -302,6 +302,9 @@
         worker_standing.PROBING_BACKOFF_S if is_probing else workers.REFUSAL_BACKOFF_S
     )
     owner.placement_events.agent_returns_at(agent_id, view.refusal_backoff_until)
+    if any(refusal.reason == "fenced" for refusal in runs):
+        # It has accepted another owner; once it accepts this one, it reports its runs.
+        view.accepted_epochs.pop(shard_number, None)
     if any(refusal.reason == evacuation.EVACUATED for refusal in runs):
         evacuation.start_refused(owner, view, now)
     for refusal in runs:
