Refuse no job as too large before all workers are known

An entry that had just started, or had just become the owner of the durable jobs, answered 429 with the longest Retry-After to a job whose label or size only workers have that were about to connect.

Change: `too_large` and `evacuated` are decided once the entry has run for worker_discovery_s (3 s), for durable jobs also once it has owned the shard for that time. Until then the job waits.

--- a/tests/scheduling/test_evacuation.py
+++ b/tests/scheduling/test_evacuation.py
@@ -206,7 +206,7 @@
     record = create_job_record(
         steps=[StepSpec(1, 1000, 64, estimate=0.2, required_label=label)]
     )
-    refusal = job_requests.job_refusal(owner, record, NOW, wait_s)
+    refusal = job_requests.job_refusal(owner, owner.shards[SHARD], record, NOW, wait_s)
     assert (refusal and refusal[2]) == reason
     assert owner.free_cores == 4 * (2 - len({"z0", "z1"} & set(domains)))
     if refusal:
--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -4,12 +4,13 @@
 
 from turmericknot.scheduling import job_requests, ownership, runs, worker_starts
 from turmericknot.scheduling.commands import Outcome
-from turmericknot.scheduling.jobs import RunEnd, agent_key, encode_record
+from turmericknot.scheduling.jobs import RunEnd, StepSpec, agent_key, encode_record
 from turmericknot.scheduling.owner import granted_shards, pending_by_queue
 
 from .site import JOB_ID, create_job_record, gain_shard
 
 SHARD = 0
+OTHER_JOB_ID = "00000000000000a2"
 
 
 @pytest.fixture
@@ -250,6 +251,19 @@
     assert len(runs_elsewhere()) == 1
 
 
+def test_new_owner_knows_its_workers_before_it_refuses_jobs(owned_site):
+    """Guards against 429 for a job whose rack is about to connect to the new owner."""
+    step = StepSpec(count=1, cpu=1000, required_label="r2-1", estimate=0.2)
+    owned_site.advance(3.0)
+    second = take_over(owned_site)
+    submit(owned_site, second, "early", job_record=create_job_record(steps=[step]))
+    owned_site.store_records(second)
+    owned_site.advance(second.owner.times.worker_discovery_s + 0.1)
+    late = create_job_record(steps=[step])
+    submit(owned_site, second, "late", job=OTHER_JOB_ID, job_record=late)
+    assert second.answers == [("early", Outcome.ACCEPTED), ("late", Outcome.REFUSED)]
+
+
 def test_late_append_of_a_lost_shard_starts_nothing(owned_site):
     """A task must not start twice, for a forgotten job and for the stored one."""
     entry = owned_site.entries["entry-0"]
--- a/turmericknot/scheduling/besteffort.py
+++ b/turmericknot/scheduling/besteffort.py
@@ -40,7 +40,7 @@
         else:
             _set_next_submission(owner, previous, (record, waiter, deadline_at))
         return
-    refusal = job_refusal(owner, record, now, deadline_at - now)
+    refusal = job_refusal(owner, shard, record, now, deadline_at - now)
     if refusal is not None:
         outcome, delay, reason = refusal
         owner.count("refused_" + reason)
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -36,7 +36,7 @@
         else:
             job.waiters.append(waiter)
         return
-    refusal = job_refusal(owner, record, now)
+    refusal = job_refusal(owner, shard, record, now)
     if refusal is not None:
         outcome, delay, reason = refusal
         owner.count("refused_" + reason)
@@ -51,29 +51,23 @@
     store_job(owner, job, (_acceptance_stored, job))
 
 
-def job_refusal(owner, record, now, caller_wait_s=math.inf):
+def job_refusal(owner, shard, record, now, caller_wait_s=math.inf):
     """Return (outcome, delay, reason) if the job cannot be served, else None."""
     owner.confinement.record_submission(record.queue, record.service, now)
-    candidates = [
-        agent
-        for agent in owner.agents.values()
-        if agent.worker is not None and agent.worker.service == record.service
-    ]
-    for step in record.steps:
-        if candidates and not any(
-            workers.fits_empty_worker(a.worker, step) for a in candidates
-        ):
-            return Outcome.REFUSED, admission.RETRY_MAX_S, "too_large"
-    is_every_worker_known = now >= owner.workers_known_at
-    if is_every_worker_known and evacuation.is_refused(
-        owner, candidates, record, caller_wait_s
-    ):
-        return Outcome.REFUSED, admission.RETRY_MAX_S, evacuation.EVACUATED
+    if now >= max(owner.workers_known_at, shard.workers_known_at):
+        candidates = [
+            agent
+            for agent in owner.agents.values()
+            if agent.worker is not None and agent.worker.service == record.service
+        ]
+        reason = _lack_of_workers(owner, candidates, record, caller_wait_s)
+        if reason:
+            return Outcome.REFUSED, admission.RETRY_MAX_S, reason
     work, cores = work_and_cores(owner, record)
     delay = admission.refusal_delay_s(
         work, owner.run_times, record, cores, caller_wait_s
     )
-    if delay and is_every_worker_known:
+    if delay and now >= owner.workers_known_at:
         return (
             Outcome.REFUSED,
             delay,
@@ -82,6 +76,21 @@
     return None
 
 
+def _lack_of_workers(owner, candidates, record, caller_wait_s):
+    """Return why no worker can run a job, or an empty string.
+
+    ``candidates`` are the agents with workers of its service.
+    """
+    for step in record.steps:
+        if candidates and not any(
+            workers.fits_empty_worker(a.worker, step) for a in candidates
+        ):
+            return "too_large"
+    if evacuation.is_refused(owner, candidates, record, caller_wait_s):
+        return evacuation.EVACUATED
+    return ""
+
+
 def work_and_cores(owner, record):
     """Return the core-seconds ahead of a job, and the cores that serve them."""
     if record.queue not in owner.confined_queues:
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -84,6 +84,8 @@
     is_closing: bool = False  # being handed over: nothing new starts
     is_durable: bool = True  # holds durable jobs; False: best-effort jobs
     confirmed_at: float = 0.0  # when the store last confirmed its ownership
+    # Before this time, agents that serve the owner alone may not have connected yet.
+    workers_known_at: float = 0.0
     unknown_job_requests: list = field(default_factory=list)  # UnknownJobRequest
     # Ended best-effort jobs: id -> (highest run number of a task, time of the end).
     last_run_numbers: OrderedDict = field(default_factory=OrderedDict)
--- a/turmericknot/scheduling/ownership.py
+++ b/turmericknot/scheduling/ownership.py
@@ -53,6 +53,7 @@
     )
     owner.shards[number] = shard
     shard.confirmed_at = now
+    shard.workers_known_at = now + times.worker_discovery_s
     log(
         owner,
         "shard.gained",
