Release the runs of a dropped job when its shard is lost

An owner of durable jobs that cannot reach the store keeps the runs of a silent agent. A cancelled job is dropped after its retention even if such a run has never been reported as ended; if the shard was lost after that, each tick failed with KeyError, which ends the process after four times.

Change: a run whose shard is gone is released. The two reasons to give up a run have a function each.

test_run_of_a_dropped_job_does_not_outlive_its_shard failed before.

--- a/tests/scheduling/test_stored.py
+++ b/tests/scheduling/test_stored.py
@@ -216,6 +216,24 @@
     assert site.agents[other_agent].worker.started == []
 
 
+def test_run_of_a_dropped_job_does_not_outlive_its_shard(owned_site):
+    """Guards against an entry that ends for a run whose end was never reported."""
+    entry = owned_site.entries["entry-0"]
+    start(owned_site, entry)
+    for agent in owned_site.agents.values():
+        owned_site.disconnect(entry, agent)
+    job_requests.cancel_job(entry.owner, SHARD, JOB_ID, "cancel", owned_site.now)
+    owned_site.deliver_all()
+    owned_site.store_records(entry)
+    dropped_at = owned_site.now + entry.owner.times.finished_job_retention_s + 1.0
+    runs.tick(entry.owner, dropped_at)
+    assert JOB_ID not in entry.owner.shards[SHARD].jobs
+    assert any(view.tasks for view in entry.owner.agents.values())
+    ownership.lose_shard(entry.owner, SHARD, "fenced", dropped_at)
+    runs.tick(entry.owner, dropped_at + 1.0)
+    assert not any(view.tasks for view in entry.owner.agents.values())
+
+
 def test_unverified_shard_is_not_granted(owned_site):
     """Guards against grants of an owner that may have lost the shard in between."""
     owner, now = owned_site.entries["entry-0"].owner, owned_site.now + 10.0
--- a/turmericknot/scheduling/run_expiry.py
+++ b/turmericknot/scheduling/run_expiry.py
@@ -23,11 +23,12 @@
     for task in view.tasks.values():
         if now - task.started_at < owner.times.start_without_grant_s:
             continue
-        shard = owner.shards[task.job.shard]
-        has_ended = _has_waited_for_grant(view, task) or (
-            not shard.is_durable or shard.confirmed_at >= expires_at
-        )
-        (ended if has_ended else undecided).append(task)
+        if _has_waited_for_grant(view, task) or _has_no_successor(
+            owner, task, expires_at
+        ):
+            ended.append(task)
+        else:
+            undecided.append(task)
     if undecided and not view.is_expired:
         log(owner, "agent.undecided", agent=view.id, runs=len(undecided))
     view.is_expired = True
@@ -41,3 +42,13 @@
     the next grant on the stream removes it from the agent's queue.
     """
     return task.started_at > view.granted_until
+
+
+def _has_no_successor(owner, task, expires_at):
+    """Return whether no other owner can have taken the run over before it ended.
+
+    A shard that was lost has no runs of this owner; a job of it may have been dropped
+    before, with a run whose end was never reported.
+    """
+    shard = owner.shards.get(task.job.shard)
+    return shard is None or not shard.is_durable or shard.confirmed_at >= expires_at
