--- a/turmericknot/node/registrar.py
+++ b/turmericknot/node/registrar.py
@@ -61,18 +61,13 @@
             self._changed.set()
 
     async def run(self):
-        """Register at the start, on changes, and again at a fixed interval.
-
-        A lost shard needs no registration: its next owner has a higher epoch.
-        """
-        registered = Registration(self._address, 0.0)
+        """Register at the start, on changes, and again at a fixed interval."""
+        registered = None
         registered_at = -math.inf
         while True:
             self._changed.clear()
-            is_unchanged = registered.lacking_services == list(
-                self._lacking_services
-            ) and all(shard in registered.owned_shards for shard in self._owned_shards)
-            if is_unchanged and steady_time() - registered_at <= REGISTER_INTERVAL_S:
+            is_renewal_due = steady_time() - registered_at > REGISTER_INTERVAL_S
+            if not is_renewal_due and self._is_current(registered):
                 await wait_for_event(self._changed, CHECK_INTERVAL_S)
                 continue
             registration = Registration(
@@ -91,6 +86,15 @@
             registered = registration
             registered_at = steady_time()
 
+    def _is_current(self, registration):
+        """Return whether a registration says all that agents have to know.
+
+        A lost shard needs no new one: its next owner has a higher epoch.
+        """
+        return registration.lacking_services == list(self._lacking_services) and all(
+            shard in registration.owned_shards for shard in self._owned_shards
+        )
+
 
 def create_registrar(store, name, address):
     """Return the registrar of an entry; it registers in ``run``."""
