Ask the agents of a label that best-effort jobs require

None of the agents with the label served the entry, which asked for more only if it lacked agents of a service, and took the label for one that no worker has.

Change: an entry registers the labels that its best-effort jobs require and that none of its agents has, and the agents that have one connect. The jobs wait meanwhile and are refused as too large only 3 s after the label was first required. A label is forgotten 60 s after its last job. At most 32 are asked for. The field is the last one and has a default.

--- a/tests/node/test_registrar.py
+++ b/tests/node/test_registrar.py
@@ -72,14 +72,33 @@
 
     async def test(registrar):
         owner = owners.create_owner()
-        registrar.update_owned_shards(owner)
+        registrar.update_needs(owner, 0.0)
         ownership.gain_shard(owner, 0, 5, [], 0.0)
         for _ in range(2):
-            registrar.update_owned_shards(owner)
+            registrar.update_needs(owner, 0.0)
             await asyncio.sleep(0.03)
         ownership.lose_shard(owner, 0, "handover", 0.0)
-        registrar.update_owned_shards(owner)
+        registrar.update_needs(owner, 0.0)
         await asyncio.sleep(0.03)
         assert [r.owned_shards for r in store.registrations] == [[], [ShardEpoch(0, 5)]]
 
     run_registrar(store, test)
+
+
+def test_wanted_label_is_registered_until_it_is_forgotten(run_registrar):
+    """Guards against an entry that no agent of a small rack learns of."""
+    store = RecordingStore()
+
+    async def test(registrar):
+        owner = owners.create_owner()
+        owner.wanted_labels.require("s", "r1", False, 0.0)
+        for now in (0.0, 30.0, 61.0):
+            registrar.update_needs(owner, now)
+            await asyncio.sleep(0.03)
+        owner.wanted_labels.require("s", "r2", False, 61.0)
+        registrar.update_needs(owner, 61.0)
+        await asyncio.sleep(0.03)
+        wanted = [r.wanted_labels for r in store.registrations]
+        assert wanted == [[], [("s", "r1")], [("s", "r2")]]
+
+    run_registrar(store, test)
--- a/tests/scheduling/test_besteffort.py
+++ b/tests/scheduling/test_besteffort.py
@@ -4,7 +4,8 @@
 
 from turmericknot.scheduling import besteffort, reports, runs, worker_starts
 from turmericknot.scheduling.commands import Outcome
-from turmericknot.scheduling.jobs import RunEnd
+from turmericknot.scheduling.jobs import RunEnd, StepSpec
+from turmericknot.scheduling.wanted_labels import CONNECT_S, FORGET_LABEL_AFTER_S
 from turmericknot.wire import shard_messages as wire
 
 from .site import JOB_ID, create_job_record
@@ -380,3 +381,25 @@
     entry.submit_best_effort("caller", site.now, wait=3.0, job_record=long_record)
     site.deliver_all()
     assert entry.answers == [("caller", Outcome.REFUSED)]
+
+
+def test_label_without_a_known_worker_is_asked_for_before_jobs_are_refused(site):
+    """Guards against 429 for a rack whose agents serve other entries only."""
+    entry = site.entries["entry-0"]
+    wanted = entry.owner.wanted_labels
+
+    def submit_outcome(number, label, now):
+        step = StepSpec(count=1, cpu=1000, required_label=label, estimate=0.2)
+        record = create_job_record(steps=[step])
+        entry.submit_best_effort("w", now, f"{number:016x}", record)
+        site.deliver_all()
+        return entry.answers.pop()[1] if entry.answers else None
+
+    assert submit_outcome(1, "r1-1", site.now) is None
+    assert wanted.current(site.now) == []
+    assert submit_outcome(2, "r2-1", site.now) is None
+    assert wanted.current(site.now) == [("s", "r2-1")]
+    later = site.now + CONNECT_S
+    assert submit_outcome(3, "r2-1", later) is Outcome.REFUSED
+    assert wanted.current(later + FORGET_LABEL_AFTER_S) == [("s", "r2-1")]
+    assert wanted.current(later + FORGET_LABEL_AFTER_S + 1.0) == []
--- a/tests/scheduling/test_neighborhood.py
+++ b/tests/scheduling/test_neighborhood.py
@@ -82,6 +82,17 @@
         assert chosen == by_hash | {"front-7"}
 
 
+def test_agents_with_a_wanted_label_connect():
+    """Guards against jobs that some entries refuse although their rack is idle."""
+    everyone = candidates(35)
+    for candidate in everyone:
+        candidate.wanted_labels = [("s", "r1")]
+    of_rack = neighborhood.choose_entries("side-1", "s", everyone, ["a", "r1"])
+    of_service = neighborhood.choose_entries("side-1", "other", everyone, ["a", "r1"])
+    assert len(of_rack) == 35
+    assert len(of_service) == neighborhood.ENTRIES_PER_AGENT
+
+
 @pytest.fixture
 def create_owner():
     def create(agents, service="s", usable=True):
--- a/turmericknot/node/entry.py
+++ b/turmericknot/node/entry.py
@@ -547,7 +547,7 @@
                 self.owner.paused_until = paused_until
             last_tick_at = now
             runs.tick(self.owner, now)
-            self._registrar.update_owned_shards(self.owner)
+            self._registrar.update_needs(self.owner, now)
             if self.configuration is not None:
                 self._registrar.update_lacking_services(
                     self.owner, self.configuration.services, now
--- a/turmericknot/node/entry_links.py
+++ b/turmericknot/node/entry_links.py
@@ -167,12 +167,18 @@
                 name in link_by_name and link_by_name[name].is_unreachable(now),
                 registration.lacking_services,
                 registration.owned_shards,
+                registration.wanted_labels,
             )
             for name, registration in registrations.items()
         ]
         life = self._runs.life
         service = life.service if life is not None else self._settings.service
-        chosen = neighborhood.choose_entries(self._settings.node, service, candidates)
+        chosen = neighborhood.choose_entries(
+            self._settings.node,
+            service,
+            candidates,
+            life.labels if life is not None else (),
+        )
         for name in chosen:
             self._connect_entry(name, registrations[name].address)
         for link in self._entries.values():
--- a/turmericknot/node/registrar.py
+++ b/turmericknot/node/registrar.py
@@ -28,6 +28,7 @@
         "_address",
         "_lacking_services",
         "_owned_shards",
+        "_wanted_labels",
         "_agents_expected_at",
         "_changed",
     )
@@ -38,6 +39,7 @@
         self._address = address
         self._lacking_services = ()
         self._owned_shards = []
+        self._wanted_labels = []
         self._agents_expected_at = steady_time() + AGENTS_CONNECT_S
         self._changed = asyncio.Event()
 
@@ -53,11 +55,15 @@
             self._changed.set()
             get_logger().info("agents.lacking", services=",".join(lacking_services))
 
-    def update_owned_shards(self, owner):
-        """Find out which shards of durable jobs the entry owns."""
+    def update_needs(self, owner, now):
+        """Find out which shards of durable jobs, and which labels, need agents."""
         owned_shards = neighborhood.find_owned_shards(owner)
-        if owned_shards != self._owned_shards:
-            self._owned_shards = owned_shards
+        wanted_labels = owner.wanted_labels.current(now)
+        for service, label in wanted_labels:
+            if (service, label) not in self._wanted_labels:
+                get_logger().info("agents.wanted", service=service, label=label)
+        if (owned_shards, wanted_labels) != (self._owned_shards, self._wanted_labels):
+            self._owned_shards, self._wanted_labels = owned_shards, wanted_labels
             self._changed.set()
 
     async def run(self):
@@ -75,6 +81,7 @@
                 time.time(),
                 list(self._lacking_services),
                 list(self._owned_shards),
+                list(self._wanted_labels),
             )
             record = KeyedRecord(self._name, encode_registration(registration))
             try:
@@ -89,10 +96,13 @@
     def _is_current(self, registration):
         """Return whether a registration says all that agents have to know.
 
-        A lost shard needs no new one: its next owner has a higher epoch.
+        A lost shard needs no new one, as its next owner has a higher epoch, nor does a
+        label that is no longer wanted.
         """
-        return registration.lacking_services == list(self._lacking_services) and all(
-            shard in registration.owned_shards for shard in self._owned_shards
+        return (
+            registration.lacking_services == list(self._lacking_services)
+            and all(s in registration.owned_shards for s in self._owned_shards)
+            and all(w in registration.wanted_labels for w in self._wanted_labels)
         )
 
 
--- a/turmericknot/node/registration.py
+++ b/turmericknot/node/registration.py
@@ -23,13 +23,15 @@
     """The link address of an entry and the Unix time of its registration.
 
     ``lacking_services`` names the services for which it has too few agents,
-    ``owned_shards`` the shards of durable jobs that it owned then.
+    ``owned_shards`` the shards of durable jobs that it owned then, ``wanted_labels``
+    the (service, label) pairs of which it had no agent.
     """
 
     address: str
     time: float
     lacking_services: list[str] = []
     owned_shards: list[ShardEpoch] = []
+    wanted_labels: list[tuple[str, str]] = []
 
 
 _registration_decoder = msgspec.msgpack.Decoder(Registration)
--- a/turmericknot/scheduling/job_requests.py
+++ b/turmericknot/scheduling/job_requests.py
@@ -60,7 +60,8 @@
             for agent in owner.agents.values()
             if agent.worker is not None and agent.worker.service == record.service
         ]
-        reason = _lack_of_workers(owner, candidates, record, caller_wait_s)
+        awaited = _awaited_labels(owner, shard, candidates, record, now)
+        reason = _lack_of_workers(owner, candidates, record, caller_wait_s, awaited)
         if reason:
             return Outcome.REFUSED, admission.RETRY_MAX_S, reason
     work, cores = work_and_cores(owner, record)
@@ -76,15 +77,33 @@
     return None
 
 
-def _lack_of_workers(owner, candidates, record, caller_wait_s):
+def _awaited_labels(owner, shard, candidates, record, now):
+    """Return the labels required by a job whose agents may be about to connect."""
+    if shard.is_durable:
+        return frozenset()  # its owner is served by all agents
+    known = {
+        label
+        for agent in candidates
+        if workers.has_usable_worker(agent)
+        for label in agent.worker.labels
+    }
+    required = {step.required_label for step in record.steps} - {""}
+    return frozenset(
+        label
+        for label in required
+        if owner.wanted_labels.require(record.service, label, label in known, now)
+    )
+
+
+def _lack_of_workers(owner, candidates, record, caller_wait_s, awaited_labels):
     """Return why no worker can run a job, or an empty string.
 
     ``candidates`` are the agents with workers of its service.
     """
     for step in record.steps:
-        if candidates and not any(
-            workers.fits_empty_worker(a.worker, step) for a in candidates
-        ):
+        if not candidates or step.required_label in awaited_labels:
+            continue
+        if not any(workers.fits_empty_worker(a.worker, step) for a in candidates):
             return "too_large"
     if evacuation.is_refused(owner, candidates, record, caller_wait_s):
         return evacuation.EVACUATED
--- a/turmericknot/scheduling/neighborhood.py
+++ b/turmericknot/scheduling/neighborhood.py
@@ -13,6 +13,7 @@
 All durable jobs of a shard have one owner, which must be able to run tasks on any
 worker: on the few with a label, and on those that a previous owner has used, whose runs
 and ends it has to be told. All agents therefore connect to the owner of each shard.
+Other entries ask for the agents of a label that their jobs require (``wanted_labels``).
 """
 
 import hashlib
@@ -22,7 +23,7 @@
 from .workers import has_usable_worker
 
 # Entries that an agent serves, besides owners of durable jobs and those that lack
-# agents of its service.
+# agents of its service or with a label of its worker.
 ENTRIES_PER_AGENT = 10
 # Below this number of agents of a service, an entry asks for more; once it has the
 # second number, it no longer does.
@@ -33,29 +34,45 @@
 class EntryCandidate:
     """An entry that an agent may connect to."""
 
-    __slots__ = ("name", "is_unreachable", "lacking_services", "owned_shards")
+    __slots__ = (
+        "name",
+        "is_unreachable",
+        "lacking_services",
+        "owned_shards",
+        "wanted_labels",
+    )
 
     def __init__(
-        self, name, is_unreachable=False, lacking_services=(), owned_shards=()
+        self,
+        name,
+        is_unreachable=False,
+        lacking_services=(),
+        owned_shards=(),
+        wanted_labels=(),
     ):
         self.name = name
         self.is_unreachable = is_unreachable
         self.lacking_services = lacking_services
         self.owned_shards = owned_shards  # ShardEpoch of each shard of durable jobs
+        self.wanted_labels = wanted_labels  # (service, label) pairs
 
 
-def choose_entries(agent_name, service, candidates):
+def choose_entries(agent_name, service, candidates, labels=()):
     """Return the names of the entries to connect to.
 
+    ``labels`` are those of the agent's worker.
     An unreachable entry remains chosen, but the next one takes its place as well.
     """
     chosen = _find_owners(candidates)
+    own_labels = {(service, label) for label in labels}
     reachable = 0
     for candidate in sorted(candidates, key=lambda c: _rank(agent_name, c.name)):
         if reachable < ENTRIES_PER_AGENT:
             chosen.add(candidate.name)
             reachable += not candidate.is_unreachable
-        elif service in candidate.lacking_services:
+        elif service in candidate.lacking_services or not own_labels.isdisjoint(
+            candidate.wanted_labels
+        ):
             chosen.add(candidate.name)
     return chosen
 
--- a/turmericknot/scheduling/owner.py
+++ b/turmericknot/scheduling/owner.py
@@ -16,6 +16,7 @@
 from .placement_events import create_placement_events
 from .places import create_places
 from .waiting import create_waiting_jobs
+from .wanted_labels import create_wanted_labels
 from .worker_fits import create_worker_fits
 from .worker_runs import GRANT_S
 
@@ -110,6 +111,7 @@
         "run_times",
         "evacuations",
         "worker_fits",
+        "wanted_labels",
         "crash_history",
         "confinement",
         "confined_queues",
@@ -140,6 +142,7 @@
         self.run_times = create_run_times()
         self.evacuations = evacuation.create_evacuations()
         self.worker_fits = create_worker_fits()
+        self.wanted_labels = create_wanted_labels()
         self.crash_history = create_crash_history()
         self.confinement = create_confinement()
         self.confined_queues = ()  # names of the queues that may use a cell only
