Register a lack of agents at the next check again

With the owner's shards, each change of an entry's registration was written at once.

Change: only a gained shard and a wanted label are urgent.

test_lack_that_comes_and_goes_is_not_registered failed before.

--- a/tests/node/test_registrar.py
+++ b/tests/node/test_registrar.py
@@ -66,6 +66,21 @@
     run_registrar(store, test)
 
 
+def test_lack_that_comes_and_goes_is_not_registered(run_registrar, monkeypatch):
+    """Guards against a start at which all agents read hundreds of registrations."""
+    monkeypatch.setattr(registrars, "CHECK_INTERVAL_S", 0.5)
+    store = RecordingStore()
+
+    async def test(registrar):
+        later = registrars.steady_time() + 10.0
+        for services in (["rare"], [], ["rare"], []):
+            registrar.update_lacking_services(owners.create_owner(), services, later)
+            await asyncio.sleep(0.005)
+        assert len(store.registrations) == 1
+
+    run_registrar(store, test)
+
+
 def test_gained_shard_is_registered_at_once(run_registrar):
     """Guards against an owner of durable jobs that most agents do not know of."""
     store = RecordingStore()
--- a/turmericknot/node/registrar.py
+++ b/turmericknot/node/registrar.py
@@ -30,7 +30,7 @@
         "_owned_shards",
         "_wanted_labels",
         "_agents_expected_at",
-        "_changed",
+        "_is_urgent",
     )
 
     def __init__(self, store, name, address):
@@ -41,10 +41,14 @@
         self._owned_shards = []
         self._wanted_labels = []
         self._agents_expected_at = steady_time() + AGENTS_CONNECT_S
-        self._changed = asyncio.Event()
+        self._is_urgent = asyncio.Event()
 
     def update_lacking_services(self, owner, services, now):
-        """Find out which services lack agents, once the agents had time to connect."""
+        """Find out which services lack agents, once the agents had time to connect.
+
+        A change is registered at the next check, not at once: while agents connect and
+        leave, the result changes to and fro, and all agents read each registration.
+        """
         if now < self._agents_expected_at:
             return
         lacking_services = neighborhood.find_lacking_services(
@@ -52,7 +56,6 @@
         )
         if lacking_services != self._lacking_services:
             self._lacking_services = lacking_services
-            self._changed.set()
             get_logger().info("agents.lacking", services=",".join(lacking_services))
 
     def update_needs(self, owner, now):
@@ -64,17 +67,17 @@
                 get_logger().info("agents.wanted", service=service, label=label)
         if (owned_shards, wanted_labels) != (self._owned_shards, self._wanted_labels):
             self._owned_shards, self._wanted_labels = owned_shards, wanted_labels
-            self._changed.set()
+            self._is_urgent.set()
 
     async def run(self):
         """Register at the start, on changes, and again at a fixed interval."""
         registered = None
         registered_at = -math.inf
         while True:
-            self._changed.clear()
+            self._is_urgent.clear()
             is_renewal_due = steady_time() - registered_at > REGISTER_INTERVAL_S
             if not is_renewal_due and self._is_current(registered):
-                await wait_for_event(self._changed, CHECK_INTERVAL_S)
+                await wait_for_event(self._is_urgent, CHECK_INTERVAL_S)
                 continue
             registration = Registration(
                 self._address,
